--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# A module is a directory with a go.mod; the workspace lists them all.
+MODULES := $(shell go list -m -f '{{.Dir}}')
+PACKAGES := $(addsuffix /...,$(MODULES))
+
+.PHONY: build test bench demo measure model lint format
+
+build:
+	@mkdir -p bin
+	go build -o bin/ $(addsuffix /...,$(filter-out $(CURDIR),$(MODULES)))
+
+test:
+	go test -race -count=1 $(PACKAGES)
+
+bench:
+	go test -run '^$$' -bench . -benchmem $(PACKAGES)
+
+lint:
+	@test -z "$$(gofumpt -l .)" || { gofumpt -d . ; exit 1; }
+	go vet $(PACKAGES)
+	golangci-lint run $(PACKAGES)
--- /dev/null
+++ b/internal/signal/event.go
@@ -0,0 +1,31 @@
+package signal
+
+import "time"
+
+// Kind is the kind of an event.
+type Kind uint8
+
+// Kinds of events. For each flow, Opened comes first and Closed last; each Requested is followed by one of Answered and
+// Abandoned. A handshake that ends with Refused or Unanswered is followed by Closed.
+const (
+	Opened     Kind = iota + 1 // a flow was pinned to the host
+	Accepted                   // the SYN-ACK arrived; Elapsed is the handshake time
+	Refused                    // the host answered the SYN with a reset
+	Unanswered                 // the host did not answer the SYN in time
+	Requested                  // payload of a caller went out while nothing was outstanding on the flow
+	Answered                   // the first payload after Requested came back; Elapsed is the first-answer time
+	Abandoned                  // the flow ended or was reset with a request outstanding
+	Closed                     // the flow no longer counts as open on the host
+)
+
+// Event is one observation of a flow.
+type Event struct {
+	// Kind is what happened.
+	Kind Kind
+	// Service and Host are the IDs in the fleet picture.
+	Service, Host uint32
+	// Elapsed is the time since the SYN or the request, where the kind has one.
+	Elapsed time.Duration
+	// Reset says that Abandoned was caused by a reset from the host.
+	Reset bool
+}
--- /dev/null
+++ b/internal/timer/timer.go
@@ -0,0 +1,196 @@
+package timer
+
+import (
+	"sync"
+	"time"
+
+	"gopkg.in/tomb.v2"
+)
+
+// DefaultPauseBound is the distance between two checks above which the process counts as paused.
+const DefaultPauseBound = time.Second
+
+// Service hands out monotonic time and calls its subscribers when their period has passed.
+type Service struct {
+	// Source returns the monotonic reading; nil selects the reading that Advance moves.
+	Source func() time.Duration
+	// PauseBound is the distance between two checks above which the process counts as paused;
+	// zero selects DefaultPauseBound.
+	PauseBound time.Duration
+
+	mu            sync.Mutex
+	manual        time.Duration
+	lastCheck     time.Duration
+	nextID        int
+	subscriptions []*subscription
+	pauses        []*pauseHandler
+}
+
+type subscription struct {
+	id     int
+	period time.Duration
+	due    time.Duration
+	call   func(now time.Duration)
+}
+
+type pauseHandler struct {
+	id   int
+	call func(now, gap time.Duration)
+}
+
+// New returns a service that ticks every interval from its own goroutine, and the function that stops it.
+func New(interval time.Duration) (*Service, func()) {
+	start := time.Now()
+	s := &Service{Source: func() time.Duration { return time.Since(start) }}
+	var tb tomb.Tomb
+	tb.Go(func() error {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				s.Tick()
+			case <-tb.Dying():
+				return nil
+			}
+		}
+	})
+	return s, func() {
+		tb.Kill(nil)
+		_ = tb.Wait()
+	}
+}
+
+// Now returns the time since the service started.
+func (s *Service) Now() time.Duration {
+	if s.Source != nil {
+		return s.Source()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.manual
+}
+
+// Subscribe calls f once per period until the returned function is called.
+func (s *Service) Subscribe(period time.Duration, f func(now time.Duration)) func() {
+	now := s.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	id := s.nextID
+	s.subscriptions = append(s.subscriptions, &subscription{id: id, period: period, due: now + period, call: f})
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for i, u := range s.subscriptions {
+			if u.id == id {
+				s.subscriptions = append(s.subscriptions[:i:i], s.subscriptions[i+1:]...)
+				return
+			}
+		}
+	}
+}
+
+// OnPause calls f after each detected pause until the returned function is called.
+func (s *Service) OnPause(f func(now, gap time.Duration)) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	id := s.nextID
+	s.pauses = append(s.pauses, &pauseHandler{id: id, call: f})
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for i, p := range s.pauses {
+			if p.id == id {
+				s.pauses = append(s.pauses[:i:i], s.pauses[i+1:]...)
+				return
+			}
+		}
+	}
+}
+
+// Check looks for a pause since the last check, calls the pause handlers if there was one, and
+// reports whether there was one.
+func (s *Service) Check() bool {
+	now := s.Now()
+	s.mu.Lock()
+	bound := s.PauseBound
+	if bound == 0 {
+		bound = DefaultPauseBound
+	}
+	gap := now - s.lastCheck
+	s.lastCheck = max(now, s.lastCheck)
+	var handlers []*pauseHandler
+	if gap > bound {
+		handlers = append(handlers, s.pauses...)
+	}
+	s.mu.Unlock()
+	for _, p := range handlers {
+		p.call(now, gap)
+	}
+	return gap > bound
+}
+
+// Tick checks for a pause and calls each subscriber whose period has passed, once.
+func (s *Service) Tick() {
+	s.Check()
+	s.run(s.Now())
+}
+
+// Advance moves the manual reading by d and calls subscribers at the times at which they are due.
+func (s *Service) Advance(d time.Duration) {
+	end := s.Now() + d
+	for {
+		due, ok := s.nextDue(end)
+		if !ok {
+			break
+		}
+		s.setManual(due)
+		s.Tick()
+	}
+	s.setManual(end)
+	s.Check()
+}
+
+// Skip moves the manual reading by d without calling any subscriber, as if the process had been paused.
+func (s *Service) Skip(d time.Duration) {
+	s.setManual(s.Now() + d)
+}
+
+func (s *Service) setManual(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.manual = max(s.manual, now)
+}
+
+func (s *Service) nextDue(end time.Duration) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	due, ok := end, false
+	for _, u := range s.subscriptions {
+		if u.due <= due {
+			due, ok = u.due, true
+		}
+	}
+	return due, ok
+}
+
+func (s *Service) run(now time.Duration) {
+	s.mu.Lock()
+	var due []*subscription
+	for _, u := range s.subscriptions {
+		if u.due > now {
+			continue
+		}
+		due = append(due, u)
+		u.due += u.period
+		if u.due <= now { // Periods missed in a pause are not made up.
+			u.due = now + u.period
+		}
+	}
+	s.mu.Unlock()
+	for _, u := range due {
+		u.call(now)
+	}
+}
--- /dev/null
+++ b/internal/timer/timer_test.go
@@ -0,0 +1,36 @@
+package timer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a subscriber that is called at the wrong time or after its cancellation.
+func TestAdvanceCallsSubscribersWhenDue(t *testing.T) {
+	is := is.New(t)
+	var s Service
+	var calls []time.Duration
+	cancel := s.Subscribe(300*time.Millisecond, func(now time.Duration) { calls = append(calls, now) })
+	s.Advance(time.Second)
+	is.Equal(calls, []time.Duration{300 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond})
+	cancel()
+	s.Advance(time.Second)
+	is.Equal(len(calls), 3)
+}
+
+// Guards against a process that acts on an old picture because no tick has run since it woke up.
+func TestCheckDetectsPauseBeforeTick(t *testing.T) {
+	is := is.New(t)
+	var s Service
+	var gaps []time.Duration
+	s.OnPause(func(_, gap time.Duration) { gaps = append(gaps, gap) })
+	s.Subscribe(100*time.Millisecond, func(time.Duration) {})
+	s.Advance(5 * time.Second)
+	is.Equal(len(gaps), 0)
+	s.Skip(20 * time.Second)
+	is.True(s.Check())
+	is.True(!s.Check())
+	is.Equal(gaps, []time.Duration{20 * time.Second})
+}
