--- /dev/null
+++ b/internal/fabric/socket.go
@@ -0,0 +1,233 @@
+package fabric
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/net/ipv4"
+	"golang.org/x/net/ipv6"
+	"golang.org/x/sys/unix"
+	"gopkg.in/tomb.v2"
+
+	"github.com/masticspar/masticspar/internal/counter"
+)
+
+const (
+	poolSize       = 8
+	rotationPeriod = 5 * time.Second // bounds the time that a flow stays on a silently dropping path
+	batchSize      = 64              // datagrams for each system call; larger batches gain little and add latency
+	queueSize      = 4 * batchSize   // datagrams that each sending socket keeps while its send buffer is full
+	bufferSize     = 2048            // bytes; holds a datagram of every permitted inner MTU
+	socketBuffer   = 4 << 20         // bytes asked of the kernel, which may grant less
+)
+
+// Datagram is one received UDP payload.
+type Datagram struct {
+	// Source is the outer source address and port.
+	Source netip.AddrPort
+	// Bytes is the payload; it is valid only during the call of the handler.
+	Bytes []byte
+}
+
+// Socket receives from one address and sends from a pool of ports on the same IP address.
+// Send and Flush are safe for concurrent use.
+type Socket struct {
+	conn     *net.UDPConn
+	tb       tomb.Tomb
+	mu       sync.Mutex
+	pool     [poolSize]sender
+	full     metrics.Counter
+	failed   metrics.Counter
+	unread   metrics.Counter
+	oversize metrics.Counter
+}
+
+// New opens the sockets on address and starts the reader, which calls handler for each batch. The second result
+// closes the sockets after the last call of handler. The handler can run before New returns, so a handler that uses the
+// Socket has to take a lock that the caller of New holds until it has stored the Socket. counters may be nil.
+func New(address netip.AddrPort, counters *counter.Set, handler func(batch []Datagram)) (*Socket, func(), error) {
+	s := &Socket{
+		full: counters.Counter("dropped-send-queue"), failed: counters.Counter("dropped-send-error"),
+		unread: counters.Counter("fabric-read-errors"), oversize: counters.Counter("dropped-datagram-oversized"),
+	}
+	conn, err := listen(address)
+	if err != nil {
+		return nil, nil, errors.Annotatef(err, "receiving socket on %s", address)
+	}
+	s.conn = conn
+	bound := s.Addr().Addr()
+	for i := range s.pool {
+		if err := s.pool[i].open(netip.AddrPortFrom(bound, 0)); err != nil {
+			s.closeAll()
+			return nil, nil, errors.Annotatef(err, "sending socket on %s", bound)
+		}
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		s.closeAll()
+		return nil, nil, errors.Trace(err)
+	}
+	s.tb.Go(func() error {
+		r := newReader(raw, s.oversize)
+		for s.tb.Alive() {
+			batch, err := r.read()
+			switch {
+			case err == nil:
+				handler(batch)
+			case errors.Is(err, net.ErrClosed):
+				return nil
+			default:
+				// A pending ICMP error is reported on a later read and does not end the socket.
+				s.unread.Inc(1)
+			}
+		}
+		return nil
+	})
+	return s, func() {
+		s.tb.Kill(nil)
+		_ = conn.Close()
+		_ = s.tb.Wait()
+		s.closeAll()
+	}, nil
+}
+
+// Addr returns the address and port that the Socket receives on.
+func (s *Socket) Addr() netip.AddrPort {
+	return s.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Send queues a copy of datagram; hash is the flow hash and now the time that select the sending socket.
+// It reports whether the datagram was queued: it is dropped and counted while the kernel takes no more.
+func (s *Socket) Send(to netip.AddrPort, datagram []byte, hash uint64, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(datagram) > bufferSize {
+		s.failed.Inc(1)
+		return false
+	}
+	p := &s.pool[poolIndex(hash, now)]
+	if p.queued == queueSize {
+		p.flush(s.failed)
+	}
+	if p.queued == queueSize {
+		s.full.Inc(1)
+		return false
+	}
+	p.put(to, datagram)
+	if p.queued%batchSize == 0 {
+		p.flush(s.failed)
+	}
+	return true
+}
+
+// Flush writes what is queued. Datagrams that the kernel does not take stay queued for the next Flush.
+func (s *Socket) Flush() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.pool {
+		if s.pool[i].queued > 0 {
+			s.pool[i].flush(s.failed)
+		}
+	}
+}
+
+func (s *Socket) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.conn.Close()
+	for i := range s.pool {
+		if s.pool[i].conn != nil {
+			_ = s.pool[i].conn.Close()
+		}
+	}
+}
+
+func poolIndex(hash uint64, now time.Duration) int {
+	return int((hash + uint64(now/rotationPeriod)) % poolSize)
+}
+
+func listen(address netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, err
+	}
+	// The kernel caps the sizes silently; smaller buffers only drop earlier.
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	return conn, nil
+}
+
+type sender struct {
+	conn     *net.UDPConn
+	write    func(messages []ipv4.Message, flags int) (int, error)
+	messages []ipv4.Message
+	queued   int
+}
+
+func (p *sender) open(address netip.AddrPort) error {
+	conn, err := listen(address)
+	if err != nil {
+		return err
+	}
+	p.conn = conn
+	if address.Addr().Unmap().Is4() {
+		p.write = ipv4.NewPacketConn(conn).WriteBatch
+	} else {
+		p.write = ipv6.NewPacketConn(conn).WriteBatch
+	}
+	p.messages = make([]ipv4.Message, queueSize)
+	return nil
+}
+
+func (p *sender) put(to netip.AddrPort, datagram []byte) {
+	m := &p.messages[p.queued]
+	if m.Buffers == nil { // Allocated at first use, because most queues never become long.
+		m.Buffers = [][]byte{make([]byte, 0, bufferSize)}
+		m.Addr = &net.UDPAddr{IP: make(net.IP, net.IPv6len)}
+	}
+	m.Buffers[0] = append(m.Buffers[0][:0], datagram...)
+	address := m.Addr.(*net.UDPAddr)
+	if ip := to.Addr().Unmap(); ip.Is4() {
+		b := ip.As4()
+		address.IP = append(address.IP[:0], b[:]...)
+	} else {
+		b := ip.As16()
+		address.IP = append(address.IP[:0], b[:]...)
+	}
+	address.Port = int(to.Port())
+	p.queued++
+}
+
+func (p *sender) flush(failed metrics.Counter) {
+	done := 0
+	for done < p.queued {
+		end := min(p.queued, done+batchSize)
+		n, err := p.write(p.messages[done:end], unix.MSG_DONTWAIT)
+		done += max(n, 0)
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, unix.EAGAIN) {
+			break
+		}
+		if errors.Is(err, unix.EINTR) {
+			continue
+		}
+		if errors.Is(err, net.ErrClosed) {
+			done = p.queued
+			break
+		}
+		// The kernel refused the first datagram of the batch, for example for its address; the others can be good.
+		failed.Inc(1)
+		done++
+	}
+	// Swapping keeps every buffer in the queue exactly once.
+	for i := 0; done > 0 && done+i < p.queued; i++ {
+		p.messages[i], p.messages[done+i] = p.messages[done+i], p.messages[i]
+	}
+	p.queued -= done
+}
--- /dev/null
+++ b/internal/standin/backend/control.go
@@ -0,0 +1,90 @@
+package backend
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+)
+
+// Health is the answer of the health and load endpoint of a host.
+type Health struct {
+	Healthy bool    `json:"healthy"`
+	Load    float64 `json:"load"` // requests in the host for each slot
+}
+
+// Handler returns the HTTP control interface. The query parameter host selects one host; without it a PUT applies to
+// all hosts.
+//
+//	GET /hosts               report by host name
+//	PUT /mode?host=          {"mode": "slow", "factor": 4}
+//	PUT /blocked?host=       list of outer source addresses whose datagrams are lost
+//	GET /health?host=        health and load; PUT replaces it by a claim, DELETE returns to the truth
+//	GET /tokens?repeated=    times that each request was executed, or only of those executed more than once
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /hosts", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Hosts()) })
+	mux.HandleFunc("GET /tokens", func(w http.ResponseWriter, r *http.Request) {
+		reply(w, s.Tokens(r.URL.Query().Get("repeated") != ""))
+	})
+	mux.HandleFunc("PUT /mode", func(w http.ResponseWriter, r *http.Request) {
+		var mode Mode
+		if decode(w, r, &mode) {
+			found(w, s.SetMode(r.URL.Query().Get("host"), mode))
+		}
+	})
+	mux.HandleFunc("PUT /blocked", func(w http.ResponseWriter, r *http.Request) {
+		var sources []netip.Addr
+		if decode(w, r, &sources) {
+			found(w, s.SetBlocked(r.URL.Query().Get("host"), sources))
+		}
+	})
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, r *http.Request) {
+		var h Health
+		if s.each(r.URL.Query().Get("host"), func(m *machine) { h = m.health() }) {
+			reply(w, h)
+			return
+		}
+		found(w, false)
+	})
+	mux.HandleFunc("PUT /health", func(w http.ResponseWriter, r *http.Request) {
+		var h Health
+		if decode(w, r, &h) {
+			found(w, s.each(r.URL.Query().Get("host"), func(m *machine) { m.claim = &h }))
+		}
+	})
+	mux.HandleFunc("DELETE /health", func(w http.ResponseWriter, r *http.Request) {
+		found(w, s.each(r.URL.Query().Get("host"), func(m *machine) { m.claim = nil }))
+	})
+	return mux
+}
+
+func (m *machine) health() Health {
+	if m.claim != nil {
+		return *m.claim
+	}
+	requests := len(m.host.queue) + len(m.host.running)
+	return Health{Healthy: m.host.Mode.Kind != Dead, Load: float64(requests) / float64(m.host.slots())}
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // an error means that the client has gone
+}
+
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<20))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func found(w http.ResponseWriter, ok bool) {
+	if !ok {
+		http.Error(w, "no such host", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/standin/backend/host.go
@@ -0,0 +1,290 @@
+package backend
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/geneve"
+	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/standin/request"
+	"github.com/masticspar/masticspar/internal/standin/tcp"
+)
+
+const (
+	defaultSlots       = 2
+	defaultConnections = 2000
+	lingerTime         = 5 * time.Second // outlasts the retries of a peer that missed the last ACK on a working path
+	maxDatagram        = 1200            // bytes of a UDP response; larger requests are ignored
+	chunkSize          = 64 << 10        // bytes of a response queued at once; bounds memory of slow transfers
+)
+
+// Host is one backend server; Emit and Services must be set before use. It is not safe for concurrent use.
+type Host struct {
+	// Name appears in each response.
+	Name string
+	// Services are the addresses and ports that the host listens on.
+	Services []netip.AddrPort
+	// Slots is the number of requests executed at once; zero selects 2.
+	Slots int
+	// MaxConnections is the greatest number of open connections; zero selects 2,000.
+	MaxConnections int
+	// ServiceTime is the mean time of a request at speed 1.
+	ServiceTime time.Duration
+	// Speed divides the service time; zero selects 1.
+	Speed float64
+	// Random draws service times and initial sequence numbers.
+	Random *rand.Rand
+	// Mode is the current behaviour.
+	Mode Mode
+	// Blocked holds the outer sources whose datagrams are lost.
+	Blocked map[netip.Addr]bool
+	// Emit sends an IP packet to the caller side.
+	Emit func(inner []byte, flow *packet.Key)
+	// Executed is told each request when a slot starts it.
+	Executed func(token string)
+	// Statistics are the counts since the start.
+	Statistics Statistics
+
+	codec       geneve.Codec
+	view        packet.Packet
+	connections map[packet.Key]*connection
+	open        int
+	queue       []job
+	running     []job // unordered; at most Slots
+	modeSince   time.Duration
+}
+
+// Statistics are the counts of a host.
+type Statistics struct {
+	Requests        int           `json:"requests"`
+	Completed       int           `json:"completed"`
+	OpenConnections int           `json:"open-connections"`
+	Accepted        int           `json:"accepted"`
+	Refused         int           `json:"refused"`
+	Unknown         int           `json:"unknown"` // segments answered with a reset because no connection is known
+	Foreign         int           `json:"foreign"` // packets for an address that is not a service of the host
+	Queued          int           `json:"queued"`
+	Busy            time.Duration `json:"busy-ns"` // sum over the slots
+}
+
+type connection struct {
+	endpoint *tcp.Endpoint
+	line     []byte
+	counted  bool // counts towards the connection limit
+	response request.Request
+	sent     int // bytes of the response body queued so far
+	sending  bool
+	feed     request.Request
+	fed      int
+	feedDue  time.Duration
+	expires  time.Duration
+}
+
+type job struct {
+	request    request.Request
+	connection *connection
+	key        packet.Key // of the response, for UDP
+	started    time.Duration
+	end        time.Duration
+}
+
+// Datagram processes a datagram from the fabric.
+func (h *Host) Datagram(now time.Duration, source netip.AddrPort, datagram []byte) {
+	if h.Mode.Kind == Dead || h.Blocked[source.Addr()] {
+		return
+	}
+	inner, err := h.codec.Decode(datagram)
+	if err != nil || h.codec.Direction != geneve.ToService || h.view.Parse(inner) != nil {
+		return
+	}
+	p := &h.view
+	if !h.listens(p.Key.DestinationAddr()) {
+		h.Statistics.Foreign++
+		h.reject(p)
+		return
+	}
+	if p.Key.Protocol == packet.UDP {
+		h.datagramRequest(now, p)
+		return
+	}
+	c := h.connections[p.Key]
+	if c != nil && c.endpoint.Done() && p.SYN && !p.ACK {
+		h.forget(p.Key, c)
+		c = nil
+	}
+	if c == nil {
+		if c = h.accept(now, p); c == nil {
+			return
+		}
+	}
+	c.endpoint.Handle(now, p)
+	h.serve(now, p.Key, c)
+}
+
+func (h *Host) listens(destination netip.AddrPort) bool {
+	for _, s := range h.Services {
+		if s == destination {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Host) reject(p *packet.Packet) {
+	if p.Key.Protocol != packet.TCP {
+		return
+	}
+	if s, ok := tcp.Reject(p); ok {
+		h.emit(s)
+	}
+}
+
+func (h *Host) emit(s packet.Segment) {
+	b, err := s.Bytes()
+	if err != nil {
+		panic(err) // only an unusable key fails, and keys come from parsed packets
+	}
+	h.Emit(b, &s.Key)
+}
+
+// accept returns a new connection for a SYN, or nil after answering with a reset.
+func (h *Host) accept(now time.Duration, p *packet.Packet) *connection {
+	if !p.SYN || p.ACK || p.RST {
+		h.Statistics.Unknown++
+		h.reject(p)
+		return nil
+	}
+	limit := h.MaxConnections
+	if limit == 0 {
+		limit = defaultConnections
+	}
+	if h.open >= limit || h.Mode.Kind == Refuse {
+		h.Statistics.Refused++
+		h.reject(p)
+		return nil
+	}
+	reverse := p.Key.Reverse()
+	c := &connection{counted: true, endpoint: &tcp.Endpoint{
+		Key: reverse, ISN: tcp.ISN(h.Random.Uint64(), &reverse, now), Emit: h.emit,
+	}}
+	if h.connections == nil {
+		h.connections = map[packet.Key]*connection{}
+	}
+	h.connections[p.Key] = c
+	h.open++
+	h.Statistics.Accepted++
+	return c
+}
+
+// serve reads request lines and continues responses after a change of the connection.
+func (h *Host) serve(now time.Duration, key packet.Key, c *connection) {
+	c.line = append(c.line, c.endpoint.Read()...)
+	for {
+		line, rest, ok := bytes.Cut(c.line, []byte("\n"))
+		if !ok {
+			break
+		}
+		r, err := request.Parse(string(line))
+		c.line = append([]byte(nil), rest...)
+		if err != nil || h.Mode.Kind == Abort {
+			c.endpoint.Abort()
+			break
+		}
+		if h.Mode.Kind == Silent {
+			continue
+		}
+		if r.Feed {
+			h.start(r)
+			c.feed, c.fed, c.feedDue = r, 0, now
+			continue
+		}
+		h.submit(now, job{request: r, connection: c})
+	}
+	if len(c.line) > request.MaxLine {
+		c.endpoint.Abort()
+	}
+	h.stream(now, c)
+	if c.endpoint.PeerClosed() && !c.sending && !h.waiting(c) {
+		c.endpoint.Close(now)
+	}
+	if c.endpoint.Done() && c.counted {
+		c.counted = false
+		h.open--
+		c.expires = now + lingerTime
+	}
+	if c.endpoint.Done() && c.endpoint.Cause != tcp.CauseFinished {
+		h.forget(key, c)
+	}
+}
+
+func (h *Host) waiting(c *connection) bool {
+	for _, jobs := range [][]job{h.running, h.queue} {
+		for i := range jobs {
+			if jobs[i].connection == c {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (h *Host) forget(key packet.Key, c *connection) {
+	if c.counted {
+		c.counted = false
+		h.open--
+	}
+	delete(h.connections, key)
+}
+
+// stream queues the next part of a response when the part before is nearly acknowledged.
+func (h *Host) stream(now time.Duration, c *connection) {
+	for c.sending && !c.endpoint.Done() && c.endpoint.Unacknowledged() < chunkSize {
+		end := min(c.sent+chunkSize, c.response.Bytes)
+		c.endpoint.Write(now, c.response.Body(c.sent, end))
+		c.sent = end
+		c.sending = end < c.response.Bytes
+	}
+}
+
+func (h *Host) datagramRequest(now time.Duration, p *packet.Packet) {
+	line, _, ok := bytes.Cut(p.Payload, []byte("\n"))
+	r, err := request.Parse(string(line))
+	if !ok || err != nil || r.Feed || r.Bytes > maxDatagram-request.MaxLine ||
+		h.Mode.Kind == Silent || h.Mode.Kind == Abort || h.Mode.Kind == Refuse {
+		return
+	}
+	h.submit(now, job{request: r, key: p.Key.Reverse()})
+}
+
+// Tick ends requests, continues feeds and retransmits.
+func (h *Host) Tick(now time.Duration) {
+	if h.Mode.Kind == Dead {
+		return
+	}
+	h.advance(now)
+	for key, c := range h.connections {
+		c.endpoint.Tick(now)
+		for c.fed < c.feed.Count && now >= c.feedDue && c.endpoint.Established() && h.Mode.Kind != Silent {
+			c.endpoint.Write(now, []byte(c.feed.Header(h.Name, c.fed)))
+			c.fed++
+			c.feedDue += c.feed.Interval
+		}
+		h.serve(now, key, c)
+		if c.endpoint.Done() && now >= c.expires {
+			h.forget(key, c)
+		}
+	}
+}
+
+// Snapshot returns the statistics with the current gauges.
+func (h *Host) Snapshot(now time.Duration) Statistics {
+	s := h.Statistics
+	s.OpenConnections = h.open
+	s.Queued = len(h.queue)
+	for _, j := range h.running {
+		s.Busy += max(0, min(now, j.end)-j.started)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/standin/backend/server.go
@@ -0,0 +1,179 @@
+package backend
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/masticspar/masticspar/internal/geneve"
+	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/standin/datagram"
+	"github.com/masticspar/masticspar/internal/timer"
+)
+
+const tickPeriod = 5 * time.Millisecond // limits the delay of an answer; capacity does not depend on it
+
+// Server runs hosts on consecutive addresses; its fields must be set before Start.
+type Server struct {
+	// Name is the prefix of the host names, which end in the number of the host.
+	Name string
+	// Address is the fabric address of the first host; the next ones follow it on the same port.
+	Address netip.AddrPort
+	// Count is the number of hosts.
+	Count int
+	// Fabric receives the replies.
+	Fabric netip.AddrPort
+	// Services, Slots, MaxConnections and ServiceTime are those of each Host.
+	Services       []netip.AddrPort
+	Slots          int
+	MaxConnections int
+	ServiceTime    time.Duration
+	// Speeds are given to the hosts in turn; none selects 1 for all.
+	Speeds []float64
+	// Seed is the source of service times and sequence numbers.
+	Seed uint64
+	// Timer gives the time and ticks.
+	Timer *timer.Service
+
+	machines []*machine
+
+	mu     sync.Mutex
+	tokens map[string]int
+}
+
+// machine is a host with its socket and the lock that serialises packets, ticks and control requests.
+type machine struct {
+	mu      sync.Mutex
+	host    Host
+	address netip.AddrPort
+	conn    *datagram.Conn
+	claim   *Health
+}
+
+// Start opens the sockets and returns the function that closes them.
+func (s *Server) Start() (func(), error) {
+	var cleanups []func()
+	cleanup := func() {
+		for _, f := range cleanups {
+			f()
+		}
+	}
+	s.tokens = map[string]int{}
+	address := s.Address.Addr()
+	for i := range s.Count {
+		m, stop, err := s.open(i, netip.AddrPortFrom(address, s.Address.Port()))
+		if err != nil {
+			cleanup()
+			return nil, errors.Trace(err)
+		}
+		cleanups = append(cleanups, stop)
+		s.machines = append(s.machines, m)
+		address = address.Next()
+	}
+	cleanups = append([]func(){s.Timer.Subscribe(tickPeriod, func(now time.Duration) {
+		for _, m := range s.machines {
+			m.mu.Lock()
+			m.host.Tick(now)
+			m.mu.Unlock()
+		}
+	})}, cleanups...)
+	return cleanup, nil
+}
+
+func (s *Server) open(i int, address netip.AddrPort) (*machine, func(), error) {
+	m := &machine{address: address, host: Host{
+		Name: fmt.Sprintf("%s-%d", s.Name, i), Services: s.Services, Slots: s.Slots,
+		MaxConnections: s.MaxConnections, ServiceTime: s.ServiceTime,
+		Random:   rand.New(rand.NewPCG(s.Seed, uint64(i))),
+		Executed: s.executed,
+	}}
+	if len(s.Speeds) > 0 {
+		m.host.Speed = s.Speeds[i%len(s.Speeds)]
+	}
+	var out []byte
+	m.host.Emit = func(inner []byte, _ *packet.Key) {
+		out = geneve.Append(out[:0], inner, geneve.ToCaller, 0)
+		m.conn.Send(s.Fabric, out)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	conn, stop, err := datagram.New(address, func(source netip.AddrPort, b []byte) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.host.Datagram(s.Timer.Now(), source, b)
+	})
+	m.conn = conn
+	return m, stop, err
+}
+
+func (s *Server) executed(token string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tokens[token]++
+}
+
+// Tokens returns how often each request was executed over all hosts, or only those executed more than once.
+func (s *Server) Tokens(repeated bool) map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tokens := map[string]int{}
+	for token, n := range s.tokens {
+		if !repeated || n > 1 {
+			tokens[token] = n
+		}
+	}
+	return tokens
+}
+
+// HostReport describes one host for the control address.
+type HostReport struct {
+	Address  netip.AddrPort `json:"address"`
+	Capacity float64        `json:"capacity"` // requests per second, true value
+	Mode     Mode           `json:"mode"`
+	Statistics
+}
+
+// Hosts returns a report by host name.
+func (s *Server) Hosts() map[string]HostReport {
+	reports := map[string]HostReport{}
+	for _, m := range s.machines {
+		m.mu.Lock()
+		now := s.Timer.Now()
+		reports[m.host.Name] = HostReport{
+			Address: m.address, Capacity: m.host.Capacity(now), Mode: m.host.Mode, Statistics: m.host.Snapshot(now),
+		}
+		m.mu.Unlock()
+	}
+	return reports
+}
+
+// SetMode changes the mode of the named host, or of all hosts for an empty name, and reports whether there was one.
+func (s *Server) SetMode(name string, mode Mode) bool {
+	return s.each(name, func(m *machine) { m.host.SetMode(s.Timer.Now(), mode) })
+}
+
+// SetBlocked replaces the outer sources whose datagrams the named host loses.
+func (s *Server) SetBlocked(name string, sources []netip.Addr) bool {
+	blocked := map[netip.Addr]bool{}
+	for _, a := range sources {
+		blocked[a] = true
+	}
+	return s.each(name, func(m *machine) { m.host.Blocked = blocked })
+}
+
+func (s *Server) each(name string, f func(*machine)) bool {
+	found := false
+	for _, m := range s.machines {
+		if name == "" || name == m.host.Name {
+			m.mu.Lock()
+			f(m)
+			m.mu.Unlock()
+			found = true
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/standin/backend/slots.go
@@ -0,0 +1,131 @@
+package backend
+
+import (
+	"time"
+
+	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/standin/request"
+)
+
+// Kind names a behaviour of a host.
+type Kind string
+
+// Behaviours of a host.
+const (
+	Normal Kind = ""
+	Slow   Kind = "slow"   // requests take Factor times as long
+	Silent Kind = "silent" // accepts connections and never answers a request
+	Refuse Kind = "refuse" // answers each SYN with a reset
+	Abort  Kind = "abort"  // accepts connections and resets them at the first request
+	Cold   Kind = "cold"   // starts at a tenth of the speed and reaches all of it after WarmUp
+	Dead   Kind = "dead"   // loses every packet, connection and request
+)
+
+const coldFactor = 10
+
+// Mode is a behaviour with its parameters.
+type Mode struct {
+	Kind   Kind          `json:"mode"`
+	Factor float64       `json:"factor"`
+	WarmUp time.Duration `json:"warm-up-ns"`
+}
+
+// SetMode changes the behaviour; requests in progress keep their end. A dead host loses its connections and requests.
+func (h *Host) SetMode(now time.Duration, m Mode) {
+	h.advance(now)
+	if m.Kind == Dead {
+		h.connections, h.open, h.queue, h.running = nil, 0, nil, nil
+	}
+	h.Mode, h.modeSince = m, now
+}
+
+// Capacity returns the requests per second that the host can execute.
+func (h *Host) Capacity(now time.Duration) float64 {
+	return float64(h.slots()) * h.speed(now) / h.ServiceTime.Seconds()
+}
+
+func (h *Host) slots() int {
+	if h.Slots == 0 {
+		return defaultSlots
+	}
+	return h.Slots
+}
+
+func (h *Host) speed(now time.Duration) float64 {
+	speed := h.Speed
+	if speed == 0 {
+		speed = 1
+	}
+	switch h.Mode.Kind {
+	case Slow:
+		if h.Mode.Factor > 0 {
+			speed /= h.Mode.Factor
+		}
+	case Cold:
+		if age := now - h.modeSince; age < h.Mode.WarmUp {
+			warm := float64(age) / float64(h.Mode.WarmUp)
+			speed *= 1./coldFactor + (1-1./coldFactor)*warm
+		}
+	}
+	return speed
+}
+
+func (h *Host) submit(now time.Duration, j job) {
+	h.advance(now)
+	h.queue = append(h.queue, j)
+	h.fill(now)
+}
+
+// advance ends the requests that are due by now, in order, and starts waiting ones at the time of each end.
+func (h *Host) advance(now time.Duration) {
+	for {
+		first := -1
+		for i := range h.running {
+			if h.running[i].end <= now && (first < 0 || h.running[i].end < h.running[first].end) {
+				first = i
+			}
+		}
+		if first < 0 {
+			return
+		}
+		j := h.running[first]
+		h.running = append(h.running[:first], h.running[first+1:]...)
+		h.Statistics.Busy += j.end - j.started
+		h.Statistics.Completed++
+		h.respond(now, j)
+		h.fill(j.end)
+	}
+}
+
+func (h *Host) fill(start time.Duration) {
+	for len(h.queue) > 0 && len(h.running) < h.slots() {
+		j := h.queue[0]
+		h.queue = h.queue[1:]
+		if j.connection != nil && j.connection.endpoint.Done() {
+			continue // shed: the caller has gone
+		}
+		h.start(j.request)
+		j.started = start
+		j.end = start + time.Duration(h.Random.ExpFloat64()*float64(h.ServiceTime)/h.speed(start))
+		h.running = append(h.running, j)
+	}
+}
+
+func (h *Host) start(r request.Request) {
+	h.Statistics.Requests++
+	if h.Executed != nil {
+		h.Executed(r.Token)
+	}
+}
+
+func (h *Host) respond(now time.Duration, j job) {
+	header := []byte(j.request.Header(h.Name, 0))
+	if j.connection == nil {
+		h.emit(packet.Segment{Key: j.key, Payload: append(header, j.request.Body(0, j.request.Bytes)...)})
+		return
+	}
+	c := j.connection
+	c.endpoint.Write(now, header)
+	c.response, c.sent, c.sending = j.request, 0, j.request.Bytes > 0
+	h.stream(now, c)
+}
--- /dev/null
+++ b/internal/standin/caller/client.go
@@ -0,0 +1,84 @@
+package caller
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/masticspar/masticspar/internal/geneve"
+	"github.com/masticspar/masticspar/internal/standin/datagram"
+	"github.com/masticspar/masticspar/internal/timer"
+)
+
+const tickPeriod = 5 * time.Millisecond
+
+// Client runs a Caller over a socket; its fields must be set before Start.
+type Client struct {
+	// Caller opens and checks the flows; Start sets its Emit.
+	Caller Caller
+	// Address is the local fabric address.
+	Address netip.AddrPort
+	// Fabric receives the packets.
+	Fabric netip.AddrPort
+	// Timer gives the time and ticks.
+	Timer *timer.Service
+
+	mu    sync.Mutex
+	conn  *datagram.Conn
+	codec geneve.Codec
+}
+
+// Start opens the socket and returns the function that closes it.
+func (c *Client) Start() (func(), error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []byte
+	c.Caller.Emit = func(inner []byte) {
+		out = geneve.Append(out[:0], inner, geneve.ToService, 0)
+		c.conn.Send(c.Fabric, out)
+	}
+	conn, stop, err := datagram.New(c.Address, func(_ netip.AddrPort, b []byte) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		inner, err := c.codec.Decode(b)
+		if err == nil && c.codec.Direction == geneve.ToCaller {
+			c.Caller.Packet(c.Timer.Now(), inner)
+		}
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	c.conn = conn
+	unsubscribe := c.Timer.Subscribe(tickPeriod, func(now time.Duration) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.Caller.Tick(now)
+	})
+	return func() {
+		unsubscribe()
+		stop()
+	}, nil
+}
+
+// Done reports whether all flows of the plan have an outcome.
+func (c *Client) Done() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Caller.Done()
+}
+
+// Report returns the present counts.
+func (c *Client) Report() Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Caller.Report()
+}
+
+// StopOpening ends the opening of flows; the open ones continue.
+func (c *Client) StopOpening() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Caller.Plan.Total = max(c.Caller.number, 1)
+}
--- /dev/null
+++ b/internal/standin/caller/loopback_test.go
@@ -0,0 +1,163 @@
+package caller
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/masticspar/masticspar/internal/counter"
+	"github.com/masticspar/masticspar/internal/geneve"
+	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/standin/backend"
+	"github.com/masticspar/masticspar/internal/standin/datagram"
+	"github.com/masticspar/masticspar/internal/standin/fabric"
+	"github.com/masticspar/masticspar/internal/timer"
+)
+
+const deadline = 60 * time.Second // generous, because test machines are noisy
+
+var services = []netip.AddrPort{netip.MustParseAddrPort("198.51.100.1:80"), netip.MustParseAddrPort("[2001:db8::1]:80")}
+
+// system is a fabric, backend servers and a forwarder in the place of the entry VMs.
+type system struct {
+	clock    *timer.Service
+	fabric   *fabric.Fabric
+	backend  *backend.Server
+	counters *counter.Set
+}
+
+// start runs the system; addresses 127.9.x.x keep it apart from tests of other packages that run at the same time.
+func start(t *testing.T, network string, hosts int) *system {
+	t.Helper()
+	s := &system{counters: counter.New()}
+	clock, stopTimer := timer.New(5 * time.Millisecond)
+	s.clock = clock
+	t.Cleanup(stopTimer)
+	s.fabric = &fabric.Fabric{
+		Address: netip.MustParseAddrPort("127.0.0.1:0"), Hosts: netip.MustParsePrefix(network + ".0/24"),
+		Random: rand.New(rand.NewPCG(1, 1)), Counters: s.counters, Timer: clock,
+	}
+	must(t, s.fabric.Start)
+	s.backend = &backend.Server{
+		Name: "host", Address: netip.MustParseAddrPort(network + ".1:6081"), Count: hosts, Fabric: s.fabric.Addr(),
+		Services: services, ServiceTime: time.Millisecond, Seed: 1, Timer: clock,
+	}
+	must(t, s.backend.Start)
+	s.fabric.SetEntries([]netip.AddrPort{s.forwarder(t, network, hosts), s.forwarder(t, network, hosts)})
+	return s
+}
+
+func must(t *testing.T, start func() (func(), error)) {
+	t.Helper()
+	stop, err := start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+}
+
+// forwarder sends each packet of a caller to the host chosen by the flow hash and each packet of a host to the fabric.
+func (s *system) forwarder(t *testing.T, network string, hosts int) netip.AddrPort {
+	t.Helper()
+	var mu sync.Mutex
+	var conn *datagram.Conn
+	var codec geneve.Codec
+	var p packet.Packet
+	first := netip.MustParseAddr(network + ".1")
+	mu.Lock()
+	defer mu.Unlock()
+	conn, stop, err := datagram.New(netip.MustParseAddrPort("127.0.0.1:0"), func(source netip.AddrPort, b []byte) {
+		mu.Lock()
+		defer mu.Unlock()
+		inner, err := codec.Decode(b)
+		if err != nil || p.Parse(inner) != nil {
+			t.Errorf("unusable datagram from %s", source)
+			return
+		}
+		if codec.Direction == geneve.ToService {
+			host := plus(first, int(p.Key.Hash()%uint64(hosts)))
+			conn.Send(netip.AddrPortFrom(host, 6081), b)
+			return
+		}
+		if !s.fabric.Hosts.Contains(source.Addr()) {
+			t.Errorf("packet to a caller with outer source %s", source)
+		}
+		conn.Send(s.fabric.Addr(), b)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	return conn.Addr()
+}
+
+func (s *system) call(t *testing.T, plan Plan) Report {
+	t.Helper()
+	plan.Services, plan.Addresses = services, 20
+	plan.Source4, plan.Source6 = netip.MustParseAddr("10.0.0.1"), netip.MustParseAddr("fd00::1")
+	plan.Token = t.Name()
+	c := &Client{
+		Caller:  Caller{Plan: plan, Random: rand.New(rand.NewPCG(2, 2))},
+		Address: netip.MustParseAddrPort("127.0.0.1:0"), Fabric: s.fabric.Addr(), Timer: s.clock,
+	}
+	must(t, c.Start)
+	for end := time.Now().Add(deadline); !c.Done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("flows without an outcome: %+v", c.Report())
+		}
+	}
+	return c.Report()
+}
+
+// Guards against stand-ins that lose, change or repeat requests and responses on a path that works.
+func TestAllFlowsAreWhole(t *testing.T) {
+	is := is.New(t)
+	s := start(t, "127.9.1", 4)
+	r := s.call(t, Plan{
+		Rate: 400, Total: 200, FeedShare: 0.2, UDPShare: 0.2, Bytes: 10_000, FeedCount: 5, FeedInterval: 50 * time.Millisecond,
+	})
+	t.Logf("%+v", r)
+	is.Equal(r.Whole, 200)
+	is.Equal(len(r.Hosts), 4)
+	is.True(r.WholeFeeds > 0)
+	is.Equal(len(s.backend.Tokens(false)), 200)
+	is.Equal(len(s.backend.Tokens(true)), 0)
+}
+
+// Guards against stand-ins whose flows break when the fabric loses, repeats and reorders datagrams.
+func TestAllFlowsAreWholeOverFaultyFabric(t *testing.T) {
+	is := is.New(t)
+	s := start(t, "127.9.2", 2)
+	s.fabric.SetFaults(fabric.Faults{
+		Loss: 0.03, Duplication: 0.03, Delay: time.Millisecond, Jitter: 5 * time.Millisecond,
+	})
+	r := s.call(t, Plan{Rate: 200, Total: 100, FeedShare: 0.1, Bytes: 10_000, FeedCount: 5, FeedInterval: 50 * time.Millisecond})
+	t.Logf("%+v", r)
+	is.Equal(r.Whole, 100)
+	is.True(r.Retransmissions > 0)
+	is.Equal(len(s.backend.Tokens(true)), 0)
+}
+
+// Guards against a report that takes refused flows for broken ones, or the other way round.
+func TestOutcomesAreToldApart(t *testing.T) {
+	is := is.New(t)
+	s := start(t, "127.9.3", 1)
+	plan := Plan{Rate: 1000, Total: 10, Bytes: 100, Timeout: time.Second}
+	is.True(s.backend.SetMode("host-0", backend.Mode{Kind: backend.Refuse}))
+	is.Equal(s.call(t, plan).Refused, 10)
+	s.backend.SetMode("", backend.Mode{Kind: backend.Abort})
+	is.Equal(s.call(t, plan).Broken, map[string]int{"reset-after-payload": 10})
+	s.backend.SetMode("", backend.Mode{Kind: backend.Silent})
+	is.Equal(s.call(t, plan).Broken, map[string]int{"timeout": 10})
+	s.backend.SetMode("", backend.Mode{Kind: backend.Dead})
+	is.Equal(s.call(t, plan).Broken, map[string]int{"connect-timeout": 10})
+	s.backend.SetMode("", backend.Mode{})
+	s.fabric.SetBlocked([]netip.Addr{netip.MustParseAddr("127.9.3.1")})
+	is.Equal(s.call(t, plan).Broken, map[string]int{"connect-timeout": 10})
+	is.True(s.counters.Values()["dropped-blocked"] > 0)
+	is.Equal(len(s.backend.Tokens(false)), 0) // nothing ran
+}
--- /dev/null
+++ b/internal/standin/caller/report.go
@@ -0,0 +1,128 @@
+package caller
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+type counts struct {
+	opened, whole, wholeFeeds, refused, malformed, unknown, retransmissions int
+
+	broken   map[string]int
+	hosts    map[string]int
+	failures []Failure
+}
+
+// Failure describes a broken flow.
+type Failure struct {
+	Flow  string        `json:"flow"`
+	Token string        `json:"token"`
+	Cause string        `json:"cause"`
+	Host  string        `json:"host"` // empty before the first line of the response
+	Got   int           `json:"got"`  // bytes of the body or lines of the feed
+	Age   time.Duration `json:"age-ns"`
+}
+
+// Report says how the flows ended.
+type Report struct {
+	Opened     int `json:"opened"`
+	Open       int `json:"open"` // without an outcome yet
+	Whole      int `json:"whole"`
+	WholeFeeds int `json:"whole-feeds"` // part of Whole
+	// Refused counts flows reset as the answer to their SYN, before any payload.
+	Refused int `json:"refused"`
+	// Broken counts the other flows by cause: reset-after-payload, timeout, connect-timeout, wrong-bytes, early-close.
+	Broken map[string]int `json:"broken"`
+	// Hosts counts the whole answers of each host.
+	Hosts map[string]int `json:"hosts"`
+	// FirstAnswer holds quantiles of the time from the first packet to the first byte of the response.
+	FirstAnswer     Quantiles `json:"first-answer-us"`
+	Retransmissions int       `json:"retransmissions"`
+	Unknown         int       `json:"unknown-segments"` // received for no known flow
+	Malformed       int       `json:"malformed"`
+	Failures        []Failure `json:"failures"` // the first ones
+}
+
+// Quantiles are times in microseconds.
+type Quantiles struct {
+	P50 int64 `json:"p50"`
+	P90 int64 `json:"p90"`
+	P99 int64 `json:"p99"`
+	Max int64 `json:"max"`
+}
+
+// Report returns the present counts.
+func (c *Caller) Report() Report {
+	r := Report{
+		Opened: c.counts.opened, Open: c.pending, Whole: c.counts.whole, WholeFeeds: c.counts.wholeFeeds,
+		Refused: c.counts.refused, Broken: map[string]int{}, Hosts: map[string]int{},
+		Retransmissions: c.counts.retransmissions, Unknown: c.counts.unknown, Malformed: c.counts.malformed,
+		Failures: append([]Failure{}, c.counts.failures...),
+	}
+	for cause, n := range c.counts.broken {
+		r.Broken[cause] = n
+	}
+	for host, n := range c.counts.hosts {
+		r.Hosts[host] = n
+	}
+	if h := c.latency; h != nil {
+		r.FirstAnswer = Quantiles{
+			P50: h.ValueAtQuantile(50), P90: h.ValueAtQuantile(90), P99: h.ValueAtQuantile(99), Max: h.Max(),
+		}
+	}
+	return r
+}
+
+// answered records progress and, once for each flow, the first-answer time.
+func (c *Caller) answered(now time.Duration, f *flow) {
+	f.progress = now
+	if f.first {
+		return
+	}
+	f.first = true
+	if c.latency == nil {
+		c.latency = hdrhistogram.New(1, latencyLimit, 3)
+	}
+	_ = c.latency.RecordValue(min((now - f.opened).Microseconds(), latencyLimit)) // cannot be out of range
+}
+
+func (c *Caller) whole(now time.Duration, f *flow) {
+	c.counts.whole++
+	if f.request.Feed {
+		c.counts.wholeFeeds++
+	}
+	if c.counts.hosts == nil {
+		c.counts.hosts = map[string]int{}
+	}
+	c.counts.hosts[f.host]++
+	c.conclude(now, f, "whole")
+}
+
+func (c *Caller) refused(now time.Duration, f *flow) {
+	c.counts.refused++
+	c.conclude(now, f, "refused")
+}
+
+// end counts the flow as broken.
+func (c *Caller) end(now time.Duration, f *flow, cause string) {
+	if c.counts.broken == nil {
+		c.counts.broken = map[string]int{}
+	}
+	c.counts.broken[cause]++
+	if len(c.counts.failures) < keptFailures {
+		c.counts.failures = append(c.counts.failures, Failure{
+			Flow: f.key.String(), Token: f.request.Token, Cause: cause, Host: f.host, Got: f.got, Age: now - f.opened,
+		})
+	}
+	c.conclude(now, f, cause)
+}
+
+func (c *Caller) conclude(now time.Duration, f *flow, outcome string) {
+	f.outcome = outcome
+	f.expires = now + lingerTime
+	c.pending--
+	if f.endpoint != nil {
+		c.counts.retransmissions += f.endpoint.Retransmissions
+	}
+}
--- /dev/null
+++ b/internal/standin/tcp/endpoint.go
@@ -0,0 +1,343 @@
+package tcp
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/masticspar/masticspar/internal/packet"
+)
+
+const (
+	segmentSize  = 1200 // bytes of payload; stays below the MTU with every header
+	maxInFlight  = 4    // segments
+	firstTimeout = 200 * time.Millisecond
+	maxTimeout   = 3200 * time.Millisecond // keeps the retries of a flow in search within its 30 s
+	maxRetries   = 15                      // about 38 s without progress
+	windowSize   = 65535
+)
+
+type state int
+
+const (
+	listen state = iota
+	synSent
+	synReceived
+	established
+	closed
+)
+
+// Cause says why a connection ended.
+type Cause string
+
+// Causes of the end of a connection; the zero value means that it has not ended.
+const (
+	CauseFinished Cause = "finished" // both sides closed and everything was acknowledged
+	CauseRefused  Cause = "refused"  // reset as the answer to the SYN
+	CauseReset    Cause = "reset"    // reset later
+	CauseTimeout  Cause = "timeout"  // no progress for all retries
+	CauseAborted  Cause = "aborted"  // reset by this side
+)
+
+// Endpoint is one side of a TCP connection; with a Key, an ISN and Emit set it listens for one SYN.
+type Endpoint struct {
+	// Key names the flow in the direction of the segments that this side sends.
+	Key packet.Key
+	// ISN is the initial sequence number of this side.
+	ISN uint32
+	// Emit sends a segment; its payload is valid only during the call.
+	Emit func(packet.Segment)
+	// Cause says why the connection ended; it is empty before the end.
+	Cause Cause
+	// Retransmissions counts timeouts that sent something again.
+	Retransmissions int
+	// Acknowledged counts the payload bytes of this side that the peer acknowledged.
+	Acknowledged int
+
+	state             state
+	una, nxt, highest uint32 // oldest unacknowledged, next to send, one above the highest sent
+	rcvNxt            uint32
+	pending           []byte // payload from una on
+	received          []byte
+	finQueued         bool
+	finAcked          bool
+	finReceived       bool
+	retries           int
+	due               time.Duration // time of the next retransmission while something is unacknowledged
+}
+
+// ISN derives an initial sequence number from the seed of its owner, the flow and the time.
+func ISN(seed uint64, key *packet.Key, now time.Duration) uint32 {
+	var b [24]byte
+	binary.LittleEndian.PutUint64(b[0:], seed)
+	binary.LittleEndian.PutUint64(b[8:], key.Hash())
+	binary.LittleEndian.PutUint64(b[16:], uint64(now))
+	return uint32(xxhash.Sum64(b[:]))
+}
+
+// Reject returns the reset that answers a segment of no known connection; it is false for a reset, which has no
+// answer.
+func Reject(p *packet.Packet) (packet.Segment, bool) {
+	if p.RST {
+		return packet.Segment{}, false
+	}
+	if p.ACK {
+		return packet.Segment{Key: p.Key.Reverse(), Seq: p.Ack, RST: true}, true
+	}
+	return p.Refusal(), true
+}
+
+// Connect sends the SYN of an active open.
+func (e *Endpoint) Connect(now time.Duration) {
+	e.state = synSent
+	e.start(now)
+	e.sendSYN()
+}
+
+// Established reports whether the handshake has completed and the connection has not ended.
+func (e *Endpoint) Established() bool { return e.state == established }
+
+// Done reports whether the connection ended.
+func (e *Endpoint) Done() bool { return e.state == closed }
+
+// PeerClosed reports whether the peer sent everything and closed its side.
+func (e *Endpoint) PeerClosed() bool { return e.finReceived }
+
+// Unacknowledged returns the number of written bytes that the peer has not acknowledged.
+func (e *Endpoint) Unacknowledged() int { return len(e.pending) }
+
+// Write queues payload.
+func (e *Endpoint) Write(now time.Duration, b []byte) {
+	if e.finQueued || e.state == closed {
+		return
+	}
+	e.pending = append(e.pending, b...)
+	e.push(now)
+}
+
+// Read returns the bytes received since the last call.
+func (e *Endpoint) Read() []byte {
+	b := e.received
+	e.received = nil
+	return b
+}
+
+// Close sends a FIN after the queued payload.
+func (e *Endpoint) Close(now time.Duration) {
+	if e.state == closed || e.finQueued {
+		return
+	}
+	e.finQueued = true
+	e.push(now)
+}
+
+// Abort resets the connection.
+func (e *Endpoint) Abort() {
+	if e.state == synReceived || e.state == established {
+		e.Emit(packet.Segment{Key: e.Key, Seq: e.highest, Ack: e.rcvNxt, RST: true, ACK: true})
+	}
+	e.end(CauseAborted)
+}
+
+// Tick sends again what was not acknowledged in time.
+func (e *Endpoint) Tick(now time.Duration) {
+	if e.state == listen || e.state == closed || e.una == e.highest || now < e.due {
+		return
+	}
+	e.retries++
+	if e.retries > maxRetries {
+		e.end(CauseTimeout)
+		return
+	}
+	e.Retransmissions++
+	e.due = now + e.timeout()
+	if e.state != established {
+		e.sendSYN()
+		return
+	}
+	e.nxt = e.una
+	e.push(now)
+}
+
+// Handle processes a packet of this flow.
+func (e *Endpoint) Handle(now time.Duration, p *packet.Packet) {
+	switch e.state {
+	case listen:
+		e.handleListen(now, p)
+	case synSent:
+		e.handleSYNSent(now, p)
+	case closed:
+		// A peer that missed the last ACK sends its FIN again.
+		if e.Cause == CauseFinished && !p.RST && !p.SYN && p.End() != p.Seq {
+			e.sendACK()
+		}
+	default:
+		e.handleOpen(now, p)
+	}
+}
+
+func (e *Endpoint) handleListen(now time.Duration, p *packet.Packet) {
+	if !p.SYN || p.ACK || p.RST {
+		return
+	}
+	e.state = synReceived
+	e.rcvNxt = p.Seq + 1
+	e.start(now)
+	e.sendSYN()
+}
+
+func (e *Endpoint) handleSYNSent(now time.Duration, p *packet.Packet) {
+	switch {
+	case p.RST:
+		// Any other reset belongs to an older connection.
+		if p.ACK && p.Ack == e.highest {
+			e.end(CauseRefused)
+		}
+	case p.ACK && p.Ack != e.highest:
+		e.Emit(packet.Segment{Key: e.Key, Seq: p.Ack, RST: true})
+	case p.SYN && p.ACK:
+		e.rcvNxt = p.Seq + 1
+		e.state = established
+		e.acknowledge(now, p.Ack)
+		e.sendACK()
+		e.push(now)
+	}
+}
+
+func (e *Endpoint) handleOpen(now time.Duration, p *packet.Packet) {
+	switch {
+	case p.RST:
+		if p.Seq-e.rcvNxt < windowSize {
+			e.end(CauseReset)
+		}
+		return
+	case p.SYN && e.state == synReceived && !p.ACK:
+		e.sendSYN()
+		return
+	case p.SYN || !p.ACK:
+		e.sendACK() // challenge ACK (RFC 5961) that resets nothing
+		return
+	case int32(p.Ack-e.highest) > 0:
+		if e.state == synReceived {
+			e.Emit(packet.Segment{Key: e.Key, Seq: p.Ack, RST: true})
+		} else {
+			e.sendACK()
+		}
+		return
+	case int32(p.Seq-e.rcvNxt) < 0 && int32(p.End()-e.rcvNxt) <= 0:
+		// A duplicate or a keep-alive; its acknowledgement can still be new.
+		e.acknowledge(now, p.Ack)
+		e.sendACK()
+		e.push(now)
+		e.finish()
+		return
+	}
+	if e.state == synReceived {
+		if p.Ack != e.highest {
+			return
+		}
+		e.state = established
+	}
+	e.acknowledge(now, p.Ack)
+	e.accept(p)
+	e.push(now)
+	e.finish()
+}
+
+func (e *Endpoint) accept(p *packet.Packet) {
+	if p.End() == p.Seq {
+		return
+	}
+	// A segment from beyond a gap is dropped: the peer sends again from the oldest missing byte.
+	if int32(p.Seq-e.rcvNxt) <= 0 && !e.finReceived {
+		e.received = append(e.received, p.Payload[min(int(e.rcvNxt-p.Seq), len(p.Payload)):]...)
+		e.rcvNxt = p.End()
+		e.finReceived = p.FIN
+	}
+	e.sendACK()
+}
+
+// start sets the numbers so that only the SYN is outstanding.
+func (e *Endpoint) start(now time.Duration) {
+	e.una, e.nxt, e.highest = e.ISN, e.ISN+1, e.ISN+1
+	e.due = now + e.timeout()
+}
+
+func (e *Endpoint) timeout() time.Duration {
+	return min(firstTimeout<<min(e.retries, 8), maxTimeout)
+}
+
+func (e *Endpoint) acknowledge(now time.Duration, ack uint32) {
+	advance := ack - e.una
+	if int32(advance) <= 0 || int32(ack-e.highest) > 0 {
+		return
+	}
+	if e.una == e.ISN {
+		advance-- // the SYN takes a sequence number but is no payload
+	}
+	e.una = ack
+	if int32(e.nxt-e.una) < 0 {
+		e.nxt = e.una
+	}
+	payload := min(int(advance), len(e.pending))
+	e.pending = e.pending[payload:]
+	e.Acknowledged += payload
+	e.finAcked = e.finAcked || int(advance) > payload
+	e.retries = 0
+	e.due = now + e.timeout()
+}
+
+// push sends payload and FIN as far as the segments in flight permit.
+func (e *Endpoint) push(now time.Duration) {
+	if e.state != established {
+		return
+	}
+	if e.una == e.highest {
+		e.due = now + e.timeout()
+	}
+	for {
+		offset := int(e.nxt - e.una)
+		if offset >= maxInFlight*segmentSize || offset > len(e.pending) || e.finAcked {
+			return
+		}
+		part := e.pending[offset:min(offset+segmentSize, len(e.pending))]
+		fin := e.finQueued && offset+len(part) == len(e.pending)
+		if len(part) == 0 && !fin {
+			return
+		}
+		e.Emit(packet.Segment{Key: e.Key, Seq: e.nxt, Ack: e.rcvNxt, ACK: true, FIN: fin, Payload: part})
+		e.nxt += uint32(len(part))
+		if fin {
+			e.nxt++
+		}
+		if int32(e.nxt-e.highest) > 0 {
+			e.highest = e.nxt
+		}
+		if fin {
+			return
+		}
+	}
+}
+
+func (e *Endpoint) sendSYN() {
+	e.Emit(packet.Segment{Key: e.Key, Seq: e.ISN, Ack: e.rcvNxt, SYN: true, ACK: e.state == synReceived})
+}
+
+// sendACK uses the highest sequence number, because a peer answers an older one with an ACK of its own.
+func (e *Endpoint) sendACK() {
+	e.Emit(packet.Segment{Key: e.Key, Seq: e.highest, Ack: e.rcvNxt, ACK: true})
+}
+
+func (e *Endpoint) finish() {
+	if e.finAcked && e.finReceived {
+		e.end(CauseFinished)
+	}
+}
+
+func (e *Endpoint) end(cause Cause) {
+	if e.state != closed {
+		e.state = closed
+		e.Cause = cause
+	}
+}
