Measure the fabric socket against single calls and a bare relay

Cause: daemon throughput is to be stated as a ratio to a bare batched UDP relay, and none existed. Change: a relay in the tests of internal/fabric, and benchmarks that alternate the compared code in one run and time only the compared part.

--- /dev/null
+++ b/internal/fabric/relay_test.go
@@ -0,0 +1,206 @@
+package fabric
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"golang.org/x/net/ipv4"
+)
+
+// relay is a bare batched UDP relay: it reads a batch and sends the same buffers on, without looking at them. The
+// throughput of a forwarder is measured as a ratio to it.
+type relay struct {
+	conn     *net.UDPConn
+	reader   *reader
+	out      *ipv4.PacketConn
+	messages [batchSize]ipv4.Message
+}
+
+// newRelay opens a relay on loopback that sends to the given address.
+func newRelay(t testing.TB, to netip.AddrPort) *relay {
+	t.Helper()
+	r := &relay{}
+	r.conn, r.reader = openReader(t, loopback4)
+	out, err := listen(loopback4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = out.Close() })
+	r.out = ipv4.NewPacketConn(out)
+	address := net.UDPAddrFromAddrPort(to)
+	for i := range r.messages {
+		r.messages[i] = ipv4.Message{Buffers: make([][]byte, 1), Addr: address}
+	}
+	return r
+}
+
+// addr returns the address that the relay receives on.
+func (r *relay) addr() netip.AddrPort { return r.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// step relays one batch and returns its size.
+func (r *relay) step() (int, error) {
+	batch, err := r.reader.read()
+	if err != nil {
+		return 0, err
+	}
+	for i := range batch {
+		r.messages[i].Buffers[0] = batch[i].Bytes
+	}
+	for sent := 0; sent < len(batch); {
+		n, err := r.out.WriteBatch(r.messages[sent:len(batch)], 0)
+		if err != nil {
+			return sent, err
+		}
+		sent += n
+	}
+	return len(batch), nil
+}
+
+// bench is a source and a sink around the code that is measured. Both act only between the measured parts, so that the
+// figures do not depend on other goroutines.
+type bench struct {
+	testing.TB
+	source *Socket
+	sink   *reader
+	to     netip.AddrPort // the sink
+	data   []byte
+}
+
+func newBench(t testing.TB) *bench {
+	conn, sink := openReader(t, loopback4)
+	return &bench{
+		TB: t, source: open(t, loopback4, func([]Datagram) {}), sink: sink,
+		to: conn.LocalAddr().(*net.UDPAddr).AddrPort(), data: make([]byte, 128),
+	}
+}
+
+// fill sends a batch to the given address.
+func (b *bench) fill(to netip.AddrPort) {
+	for range batchSize {
+		b.source.Send(to, b.data, 0, 0)
+	}
+	b.source.Flush()
+}
+
+// drain reads a batch from the sink.
+func (b *bench) drain() { b.readBatch(b.sink) }
+
+func (b *bench) readBatch(r *reader) {
+	for got := 0; got < batchSize; {
+		batch, err := r.read()
+		if err != nil {
+			b.Fatal(err)
+		}
+		got += len(batch)
+	}
+}
+
+func timed(f func()) time.Duration {
+	start := time.Now()
+	f()
+	return time.Since(start)
+}
+
+// perDatagram returns nanoseconds for each datagram after the rounds of a benchmark.
+func perDatagram(b *testing.B, total time.Duration) float64 {
+	return float64(total) / float64(b.N) / batchSize
+}
+
+// BenchmarkBatch compares batches with single system calls in alternate rounds.
+func BenchmarkBatch(b *testing.B) {
+	x := newBench(b)
+	single, err := listen(loopback4)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = single.Close() }()
+	to := single.LocalAddr().(*net.UDPAddr).AddrPort()
+	buffer := make([]byte, bufferSize)
+	var singleWrite, batchWrite, singleRead, batchRead time.Duration
+	b.ReportAllocs()
+	for b.Loop() {
+		batchWrite += timed(func() { x.fill(x.to) })
+		batchRead += timed(x.drain)
+		singleWrite += timed(func() {
+			for range batchSize {
+				if _, err := single.WriteToUDPAddrPort(x.data, to); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		singleRead += timed(func() {
+			for range batchSize {
+				if _, _, err := single.ReadFromUDPAddrPort(buffer); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+	b.ReportMetric(perDatagram(b, batchWrite), "batch-write-ns")
+	b.ReportMetric(perDatagram(b, batchRead), "batch-read-ns")
+	b.ReportMetric(float64(singleWrite)/float64(batchWrite), "write-speedup")
+	b.ReportMetric(float64(singleRead)/float64(batchRead), "read-speedup")
+}
+
+// BenchmarkRelay compares relaying through the queues of a Socket with the bare relay in alternate rounds.
+func BenchmarkRelay(b *testing.B) {
+	x := newBench(b)
+	bare := newRelay(b, x.to)
+	conn, in := openReader(b, loopback4)
+	address := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	out := open(b, loopback4, func([]Datagram) {})
+	var bareTime, socketTime time.Duration
+	hash := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		x.fill(bare.addr())
+		bareTime += timed(func() {
+			for got := 0; got < batchSize; {
+				n, err := bare.step()
+				if err != nil {
+					b.Fatal(err)
+				}
+				got += n
+			}
+		})
+		x.drain()
+		x.fill(address)
+		socketTime += timed(func() {
+			for got := 0; got < batchSize; {
+				batch, err := in.read()
+				if err != nil {
+					b.Fatal(err)
+				}
+				for i := range batch {
+					hash++
+					out.Send(x.to, batch[i].Bytes, hash, 0)
+				}
+				out.Flush()
+				got += len(batch)
+			}
+		})
+		x.drain()
+	}
+	b.ReportMetric(perDatagram(b, bareTime), "bare-ns")
+	b.ReportMetric(perDatagram(b, socketTime), "socket-ns")
+	b.ReportMetric(float64(bareTime)/float64(socketTime), "throughput-ratio")
+}
+
+// Guards against a relay that loses datagrams, which would make every ratio to it too small.
+func TestRelayPassesEveryDatagram(t *testing.T) {
+	x := newBench(t)
+	r := newRelay(t, x.to)
+	for range 20 {
+		x.fill(r.addr())
+		for got := 0; got < batchSize; {
+			n, err := r.step()
+			if err != nil {
+				t.Fatal(err)
+			}
+			got += n
+		}
+		x.drain()
+	}
+}
