Add the rendezvous ranker and the flow table

Cause: an entry VM needs to know which host serves a flow, and payload of one flow must reach one host only, even when two entry VMs believe to own the flow. Pins are 80 bytes in chunks behind an open-addressing index. Ruled out: a saved SYN and search state in each pin, because only half-open and searched flows need them; they have side records, at most SideLimit. Rewriting all pins in Suspend, because it would stop the packets; an epoch in each pin makes the change when it is used.

--- /dev/null
+++ b/internal/flow/caller.go
@@ -0,0 +1,214 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/packet"
+)
+
+// refuse answers the SYN of a caller with a reset.
+func (t *Table) refuse(now time.Duration, p *packet.Packet, reason string) Verdict {
+	t.emit(now, nil, p.Refusal())
+	return Verdict{Reason: reason}
+}
+
+func (t *Table) callerSYN(now time.Duration, s *fleet.Service, n *pin, p *packet.Packet, hash uint64) Verdict {
+	switch {
+	case len(p.Payload) > 0:
+		return Verdict{Reason: ReasonSYNWithData}
+	case n == nil, n.state == closed, n.state == unverified:
+		return t.newFlow(now, s, n, p, hash)
+	case n.state == established:
+		return t.challenge(now, s, n, p, hash)
+	case n.caller != p.Seq+1: // The caller began another connection with the same port.
+		return t.newFlow(now, s, n, p, hash)
+	}
+	h := hostOf(s, n.host)
+	if !n.is(accepted) && now-n.since >= retryAfter || h == nil {
+		if v, ok := t.moveUnanswered(now, s, n, h, p); ok {
+			return v
+		}
+	}
+	n.extend(now, shortTimeout)
+	return Verdict{Action: ToHost, Host: h}
+}
+
+// newFlow pins the flow of a SYN to the host that Pick chooses.
+func (t *Table) newFlow(now time.Duration, s *fleet.Service, n *pin, p *packet.Packet, hash uint64) Verdict {
+	if n != nil {
+		t.drop(now, n)
+	}
+	if t.pins.count >= t.pins.capacity {
+		return t.refuse(now, p, ReasonTableFull)
+	}
+	h, reason := t.pick(now, s, &p.Key, nil)
+	if h == nil {
+		return t.refuse(now, p, reason)
+	}
+	n = t.pins.insert(&p.Key, hash)
+	n.state, n.epoch, n.service = halfOpen, t.epoch, s.ID
+	n.caller = p.Seq + 1
+	// Without a side record a refusal of the host goes to the caller, who may try again.
+	if c := t.addSide(n); c != nil {
+		c.syn = append(c.syn[:0], p.Bytes...)
+	}
+	t.sendSYN(now, s, n, h)
+	return Verdict{Action: ToHost, Host: h}
+}
+
+// sendSYN notes that the SYN of the half-open pin goes to the host.
+func (t *Table) sendSYN(now time.Duration, s *fleet.Service, n *pin, h *fleet.Host) {
+	n.since = now
+	n.extend(now, shortTimeout)
+	if c := t.sideOf(n); c != nil {
+		c.service = s
+		c.tried = append(c.tried, h.ID)
+	}
+	t.open(now, n, h.ID)
+}
+
+// moveUnanswered sends the SYN of a caller to another host, because h did not answer it or is no longer published.
+func (t *Table) moveUnanswered(now time.Duration, s *fleet.Service, n *pin, h *fleet.Host, p *packet.Packet) (Verdict, bool) {
+	// A host that is leaving may not get the SYN again, whatever the budget says.
+	gone := h == nil || h.Leaving
+	next, reason := t.pickAnother(now, s, n, gone)
+	switch {
+	case next == nil && !gone:
+		return Verdict{}, false
+	case next == nil:
+		t.drop(now, n)
+		return t.refuse(now, p, reason), true
+	}
+	t.unanswered(now, n)
+	t.end(now, n, false)
+	n.flags &^= accepted
+	t.sendSYN(now, s, n, next)
+	return Verdict{Action: ToHost, Host: next, Reason: ReasonRetryUnanswered}, true
+}
+
+// pickAnother chooses a host for a half-open pin that has not yet got its SYN, within the retry budget unless free is
+// set.
+func (t *Table) pickAnother(now time.Duration, s *fleet.Service, n *pin, free bool) (*fleet.Host, string) {
+	avoid := []uint32{n.host}
+	if c := t.sideOf(n); c != nil {
+		avoid = c.tried
+	}
+	switch {
+	case len(avoid) >= triesLimit, !slices.ContainsFunc(s.Hosts, func(h *fleet.Host) bool {
+		return !slices.Contains(avoid, h.ID)
+	}):
+		return nil, ReasonNoHost
+	case !free && !t.allowRetry(now):
+		return nil, ReasonRetryBudget
+	}
+	return t.pick(now, s, &n.key, avoid)
+}
+
+// challenge handles a SYN on an established pin. It is an old duplicate or the caller has lost its connection and
+// uses the port again. The host gets a probe instead of the SYN: when it still holds the connection, its ACK makes a
+// caller of the second kind reset it (RFC 9293, 3.10.7.3), and when it does not, its RST closes the pin. The ACK number
+// of the probe is far from the connection, so that the RST is told apart and harms no caller.
+func (t *Table) challenge(now time.Duration, s *fleet.Service, n *pin, p *packet.Packet, hash uint64) Verdict {
+	h := hostOf(s, n.host)
+	if c := t.sideOf(n); h == nil || c != nil && c.challenged && now-c.challengedAt >= retryAfter {
+		return t.newFlow(now, s, n, p, hash)
+	}
+	c := t.addSide(n)
+	if c == nil || c.challenged || !t.allowProbe(now) {
+		return Verdict{Reason: ReasonSearching}
+	}
+	c.challenged, c.challengedAt, c.challengeAck = true, now, n.server+1<<30
+	t.emit(now, h, packet.Segment{Key: p.Key, Seq: p.Seq - 1, Ack: c.challengeAck, ACK: true})
+	return Verdict{Reason: ReasonSearching}
+}
+
+// callerReset passes the RST of a caller on to the pinned host. It ends only connections that it fits: a caller that
+// waits for a SYN-ACK also resets an older connection of the same port.
+func (t *Table) callerReset(now time.Duration, s *fleet.Service, n *pin, p *packet.Packet) Verdict {
+	if n == nil || n.state == unverified || len(p.Payload) > 0 {
+		return Verdict{Reason: ReasonUnknownFlow}
+	}
+	h := hostOf(s, n.host)
+	if h == nil {
+		return Verdict{Reason: ReasonNoHost}
+	}
+	switch {
+	case n.state == established && near(p.Seq, n.caller):
+		t.shut(now, n, false)
+	case n.state == halfOpen && n.is(accepted) && p.Seq == n.caller: // The caller gave up on this SYN-ACK.
+		t.drop(now, n)
+	}
+	return Verdict{Action: ToHost, Host: h}
+}
+
+func (t *Table) callerSegment(now time.Duration, s *fleet.Service, n *pin, p *packet.Packet, hash uint64) Verdict {
+	if n == nil || !t.acknowledged(n, p) {
+		return t.search(now, s, n, p, hash)
+	}
+	h := hostOf(s, n.host)
+	if h == nil {
+		return Verdict{Reason: ReasonNoHost}
+	}
+	switch n.state {
+	case halfOpen:
+		t.freeSide(n)
+		n.state = established
+		n.server++ // The SYN-ACK counts as one in the sequence.
+		t.classify(now, s, n, h)
+	case closed:
+		return Verdict{Action: ToHost, Host: h}
+	case established: // What began a search was a stray packet.
+		if c := t.sideOf(n); c != nil && c.searching {
+			t.stopSearch(n, c)
+		}
+	}
+	n.flags &^= learned
+	n.extend(now, idle(s, packet.TCP))
+	if end := p.Seq + uint32(len(p.Payload)); len(p.Payload) > 0 && after(end, n.caller) {
+		n.caller = end
+		t.request(now, n)
+	}
+	if p.FIN {
+		n.flags |= callerDone
+	}
+	t.reclassify(now, s, n, h)
+	if n.is(callerDone) && n.is(hostDone) {
+		t.shut(now, n, false)
+	}
+	return Verdict{Action: ToHost, Host: h}
+}
+
+// acknowledged says that the caller has seen a sequence number of the pinned host in this connection. The payload of
+// the packet may then go to that host.
+func (t *Table) acknowledged(n *pin, p *packet.Packet) bool {
+	switch n.state {
+	case halfOpen:
+		return n.is(accepted) && p.Ack == n.server+1
+	case established, closed:
+		return near(p.Ack, n.server)
+	}
+	return false
+}
+
+func (t *Table) allowRetry(now time.Duration) bool { return t.AllowRetry == nil || t.AllowRetry(now) }
+
+func (t *Table) allowProbe(now time.Duration) bool { return t.AllowProbe == nil || t.AllowProbe(now) }
+
+// resend sends the saved SYN of a half-open pin to another host after its host refused it. When there is none, the
+// caller is refused.
+func (t *Table) resend(now time.Duration, s *fleet.Service, n *pin) Verdict {
+	h, reason := t.pickAnother(now, s, n, false)
+	if h == nil {
+		refusal := packet.Segment{Key: n.key.Reverse(), Ack: n.caller, RST: true, ACK: true}
+		t.drop(now, n)
+		t.emit(now, nil, refusal)
+		return Verdict{Reason: reason}
+	}
+	t.sendSYN(now, s, n, h)
+	if t.Emit != nil {
+		t.Emit(now, h, t.sideOf(n).syn)
+	}
+	return Verdict{Reason: ReasonRetryRefused}
+}
--- /dev/null
+++ b/internal/flow/handshake_test.go
@@ -0,0 +1,175 @@
+package flow
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/signal"
+)
+
+// Guards against payload at a host whose SYN-ACK the caller did not acknowledge, which could run a request twice.
+func TestFirstPayloadNeedsExactACK(t *testing.T) {
+	for _, ack := range []uint32{isn, isn + 2, isn + 1 + sequenceWindow, 0} {
+		r := newRig(t, packet.TCP, 3)
+		r.syn()
+		host, reason := r.data(isn + 1) // before the SYN-ACK
+		r.Equal([]any{host, reason}, []any{uint32(0), ReasonSearching})
+		pass, _ := r.synACK(1)
+		r.True(pass)
+		host, reason = r.data(ack)
+		r.Equal([]any{host, reason}, []any{uint32(0), ReasonSearching})
+		r.Equal(r.state(), "half-open")
+		host, _ = r.data(isn + 1)
+		r.Equal([]any{host, r.state()}, []any{uint32(1), "established"})
+	}
+}
+
+// Guards against payload of another connection at the pinned host, and against ACKs of a fast download that are taken
+// for such.
+func TestLaterPayloadNeedsACKNearHostSequence(t *testing.T) {
+	r := newRig(t, packet.TCP, 3)
+	r.establish()
+	const seen = isn + 5000
+	pass, _ := r.reply(1, packet.Segment{Seq: seen - 3, Ack: callISN + 1, ACK: true, Payload: []byte("abc")})
+	r.True(pass)
+	for ack, want := range map[uint32]uint32{
+		seen: 1, seen - sequenceWindow: 1, seen + sequenceWindow: 1, seen - sequenceWindow - 1: 0, seen + sequenceWindow + 1: 0,
+	} {
+		host, _ := r.data(ack)
+		r.Equal(host, want)
+	}
+	r.Equal(r.state(), "established") // A stray packet does not end the flow.
+}
+
+// Guards against a SYN at two hosts when a retransmission is early or the first host has answered.
+func TestSYNRetransmission(t *testing.T) {
+	r := newRig(t, packet.TCP, 3)
+	budget := 0
+	r.AllowRetry = func(time.Duration) bool { budget--; return budget >= 0 }
+	host, _ := r.syn()
+	r.Equal(host, uint32(1))
+	r.now += retryAfter - time.Millisecond
+	budget = 1
+	host, _ = r.syn()
+	r.Equal([]any{host, budget}, []any{uint32(1), 1}) // early
+	budget = 0
+	r.now += time.Millisecond
+	host, _ = r.syn()
+	r.Equal(host, uint32(1)) // no budget
+	budget = 1
+	host, reason := r.syn()
+	r.Equal([]any{host, reason}, []any{uint32(2), ReasonRetryUnanswered})
+	r.Equal(r.kinds(), []signal.Kind{signal.Opened, signal.Unanswered, signal.Closed, signal.Opened})
+	pass, reason := r.synACK(1)
+	r.Equal([]any{pass, reason}, []any{false, ReasonCrossedReply})
+	r.synACK(2)
+	r.now += 3 * time.Second
+	budget = 1
+	host, _ = r.syn()
+	r.Equal(host, uint32(2)) // The host has answered.
+	r.Equal(r.kinds(), []signal.Kind{signal.Accepted})
+}
+
+// Guards against a leaving host that gets a SYN again because the retry budget is empty.
+func TestSYNLeavesLeavingHost(t *testing.T) {
+	r := newRig(t, packet.TCP, 2)
+	r.AllowRetry = func(time.Duration) bool { return false }
+	r.syn()
+	r.s.Hosts[0].Leaving = true
+	r.now += retryAfter
+	host, _ := r.syn()
+	r.Equal(host, uint32(2))
+}
+
+// Guards against a caller that is refused because one host has no listener.
+func TestRefusedSYNGoesToNextHost(t *testing.T) {
+	r := newRig(t, packet.TCP, 3)
+	r.syn()
+	pass, reason := r.reply(1, packet.Segment{Seq: isn, RST: true}) // the late reply to a probe
+	r.Equal([]any{pass, reason, len(r.sent)}, []any{false, ReasonUnknownFlow, 0})
+	pass, reason = r.resetSYN(1)
+	r.Equal([]any{pass, reason}, []any{false, ReasonRetryRefused})
+	want := parse(r.I, packet.Segment{Key: r.key, Seq: callISN, SYN: true})
+	r.True(bytes.Equal(r.sent[0].Bytes, want.Bytes))
+	r.Equal(r.sent[0].host, uint32(2))
+	r.Equal(r.kinds(), []signal.Kind{signal.Opened, signal.Refused, signal.Closed, signal.Opened})
+	r.synACK(2)
+	host, _ := r.data(isn + 1)
+	r.Equal(host, uint32(2))
+}
+
+// Guards against a caller that waits in vain when its SYN cannot be sent to another host.
+func TestRefusalReachesCaller(t *testing.T) {
+	for _, c := range []struct {
+		hosts  int
+		budget bool
+		reason string
+	}{{1, true, ReasonNoHost}, {3, false, ReasonRetryBudget}} {
+		r := newRig(t, packet.TCP, c.hosts)
+		r.AllowRetry = func(time.Duration) bool { return c.budget }
+		r.syn()
+		pass, reason := r.resetSYN(1)
+		r.Equal([]any{pass, reason, len(r.sent)}, []any{false, c.reason, 1})
+		e := r.sent[0]
+		r.Equal([]any{e.host, e.RST, e.ACK, e.Seq, e.Ack}, []any{uint32(0), true, true, uint32(0), uint32(callISN + 1)})
+		r.Equal(r.kinds(), []signal.Kind{signal.Opened, signal.Refused, signal.Closed})
+		r.Equal(r.Len(), 0)
+	}
+}
+
+// Guards against new flows without room or host that are neither refused nor counted.
+func TestNewFlowRefusals(t *testing.T) {
+	r := newRig(t, packet.TCP, 1)
+	r.Capacity = 1
+	host, reason := r.call(packet.Segment{Seq: callISN, SYN: true, Payload: []byte("x")})
+	r.Equal([]any{host, reason, len(r.sent)}, []any{uint32(0), ReasonSYNWithData, 0})
+	r.establish()
+	r.key = flowKey(packet.TCP, 4001)
+	_, reason = r.syn()
+	r.Equal([]any{reason, len(r.sent), r.sent[0].RST, r.sent[0].Seq}, []any{ReasonTableFull, 1, true, uint32(0)})
+	_, reason = r.data(5)
+	r.Equal([]any{reason, len(r.sent)}, []any{ReasonTableFull, 1}) // no reset for an established connection
+	r.pins.capacity = 2
+	r.s.Hosts[0].Leaving = true
+	_, reason = r.syn()
+	r.Equal([]any{reason, len(r.sent)}, []any{"overload", 2})
+	for _, s := range []packet.Segment{{SYN: true, ACK: true}, {SYN: true, FIN: true}, {FIN: true}} {
+		_, reason = r.call(s)
+		r.Equal(reason, ReasonForeign)
+	}
+}
+
+// Guards against a pin that is not freed when its caller gives up during the handshake.
+func TestCallerResetsHandshake(t *testing.T) {
+	r := newRig(t, packet.TCP, 1)
+	r.syn()
+	r.synACK(1)
+	host, _ := r.call(packet.Segment{Seq: 5, RST: true}) // resets an older connection
+	r.Equal([]any{host, r.state()}, []any{uint32(1), "half-open"})
+	host, _ = r.call(packet.Segment{Seq: callISN + 1, RST: true})
+	r.Equal([]any{host, r.Len()}, []any{uint32(1), 0})
+	r.Equal(r.kinds(), []signal.Kind{signal.Opened, signal.Accepted, signal.Closed})
+}
+
+// Guards against requests that are counted twice or never end, which would distort the learned capacity.
+func TestRequestEvents(t *testing.T) {
+	r := newRig(t, packet.TCP, 1)
+	r.establish()
+	r.kinds()
+	r.data(isn + 1)
+	r.data(isn + 1) // a retransmission
+	r.reply(1, packet.Segment{Seq: isn + 1, Ack: callISN + 8, ACK: true})
+	r.Equal(r.kinds(), []signal.Kind{signal.Requested})
+	r.now += 30 * time.Millisecond
+	r.reply(1, packet.Segment{Seq: isn + 1, Ack: callISN + 8, ACK: true, Payload: []byte("response")})
+	r.Equal(r.events[0].Elapsed, 30*time.Millisecond)
+	r.data(isn + 9) // the retransmission of an answered request
+	r.call(packet.Segment{Seq: callISN + 8, Ack: isn + 9, ACK: true, Payload: []byte("next")})
+	r.Equal(r.kinds(), []signal.Kind{signal.Answered, signal.Requested})
+	pass, _ := r.reply(1, packet.Segment{Seq: isn + 9, RST: true})
+	r.True(pass)
+	r.True(r.events[0].Reset)
+	r.Equal(r.kinds(), []signal.Kind{signal.Abandoned, signal.Closed})
+}
--- /dev/null
+++ b/internal/flow/host.go
@@ -0,0 +1,146 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/signal"
+)
+
+func (t *Table) hostSegment(now time.Duration, s *fleet.Service, n *pin, h *fleet.Host, p *packet.Packet) Verdict {
+	if c := t.sideOf(n); c != nil {
+		if v, ok := t.searchReply(now, s, n, c, h, p); ok {
+			return v
+		}
+		if v, ok := t.challengeReply(now, n, c, h, p); ok {
+			return v
+		}
+	}
+	if n.state == unverified {
+		c := t.sideOf(n)
+		switch {
+		case p.RST, p.SYN:
+			return Verdict{Reason: ReasonUnknownFlow}
+		case c != nil && c.searching: // It does not fit what the caller acknowledges.
+			return Verdict{Reason: ReasonCrossedReply}
+		}
+		return t.learnSegment(now, s, n, h, p)
+	}
+	if n.host != h.ID {
+		// A host that got the SYN of the flow from another entry VM can send an ACK without serving it. Until the
+		// caller confirms the pin, a later packet of another host therefore replaces it.
+		if n.state == established && n.is(learned) && !p.RST && !p.SYN {
+			return t.learnSegment(now, s, n, h, p)
+		}
+		return Verdict{Reason: ReasonCrossedReply}
+	}
+	if n.state == halfOpen {
+		return t.hostHandshake(now, s, n, h, p)
+	}
+	switch fits := near(p.Seq, n.server); {
+	case (p.RST || p.SYN) && !fits:
+		return Verdict{Reason: ReasonUnknownFlow}
+	case p.RST:
+		if n.state == established {
+			t.shut(now, n, true)
+		}
+		return Verdict{Action: ToCaller}
+	case p.SYN:
+		return Verdict{Action: ToCaller}
+	case !fits: // Another entry VM opened a new connection on the host, or the numbers advanced unseen.
+		return t.learnSegment(now, s, n, h, p)
+	}
+	return t.passReply(now, s, n, h, p)
+}
+
+// hostHandshake handles a packet from the host of a half-open pin.
+func (t *Table) hostHandshake(now time.Duration, s *fleet.Service, n *pin, h *fleet.Host, p *packet.Packet) Verdict {
+	switch {
+	case p.RST && n.is(accepted):
+		if !near(p.Seq, n.server) && (!p.ACK || p.Ack != n.caller) {
+			return Verdict{Reason: ReasonUnknownFlow}
+		}
+		t.drop(now, n) // A closed pin would take payload that the caller did not send to this host.
+		return Verdict{Action: ToCaller}
+	case p.RST:
+		// The reply to a probe has no matching ACK number; only the reply to this SYN has.
+		if !p.ACK || p.Ack != n.caller {
+			return Verdict{Reason: ReasonUnknownFlow}
+		}
+		t.observe(now, n, signal.Event{Kind: signal.Refused, Elapsed: now - n.since})
+		t.end(now, n, true)
+		if c := t.sideOf(n); c == nil || len(c.syn) == 0 {
+			t.drop(now, n)
+			return Verdict{Action: ToCaller, Reason: ReasonHostRefused}
+		}
+		return t.resend(now, s, n)
+	case p.SYN:
+		if !p.ACK || p.Ack != n.caller {
+			return Verdict{Reason: ReasonUnknownFlow}
+		}
+		n.server = p.Seq
+		if !n.is(accepted) {
+			n.flags |= accepted
+			t.observe(now, n, signal.Event{Kind: signal.Accepted, Elapsed: now - n.since})
+		}
+		n.extend(now, shortTimeout)
+		return Verdict{Action: ToCaller}
+	case n.is(accepted) && len(p.Payload) > 0 && near(p.Seq, n.server):
+		// A host sends payload only after the caller has acknowledged its SYN-ACK, which went another way.
+		t.freeSide(n)
+		n.state = established
+		n.flags |= learned
+		t.classify(now, s, n, h)
+		return t.passReply(now, s, n, h, p)
+	}
+	// The host may hold an older connection of the same port; its ACK lets the caller reset it.
+	return Verdict{Action: ToCaller}
+}
+
+// learnSegment pins a flow to the host that sends packets for it.
+func (t *Table) learnSegment(now time.Duration, s *fleet.Service, n *pin, h *fleet.Host, p *packet.Packet) Verdict {
+	t.settle(now, s, n, h, p.End(), p.Ack)
+	n.flags |= learned
+	return t.passReply(now, s, n, h, p)
+}
+
+// passReply passes a packet of the pinned host to the caller.
+func (t *Table) passReply(now time.Duration, s *fleet.Service, n *pin, h *fleet.Host, p *packet.Packet) Verdict {
+	if after(p.End(), n.server) {
+		n.server = p.End()
+	}
+	if n.state == closed {
+		return Verdict{Action: ToCaller}
+	}
+	n.extend(now, idle(s, packet.TCP))
+	if len(p.Payload) > 0 {
+		t.answer(now, n)
+	}
+	if p.FIN {
+		n.flags |= hostDone
+	}
+	t.reclassify(now, s, n, h)
+	if n.is(callerDone) && n.is(hostDone) {
+		t.shut(now, n, false)
+	}
+	return Verdict{Action: ToCaller}
+}
+
+// challengeReply handles the reply to the probe that was sent in place of a SYN.
+func (t *Table) challengeReply(now time.Duration, n *pin, c *side, h *fleet.Host, p *packet.Packet) (Verdict, bool) {
+	if !c.challenged || n.host != h.ID || p.SYN {
+		return Verdict{}, false
+	}
+	switch {
+	case p.RST && p.Seq == c.challengeAck, !p.RST && !near(p.Seq, n.server):
+		t.shut(now, n, true)
+		return Verdict{Reason: ReasonProbeReply}, true
+	case !p.RST:
+		c.challenged = false
+		if !c.searching {
+			t.freeSide(n)
+		}
+	}
+	return Verdict{}, false
+}
--- /dev/null
+++ b/internal/flow/life_test.go
@@ -0,0 +1,208 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/signal"
+)
+
+// finish closes the flow of establish from both ends.
+func (r *rig) finish() {
+	r.call(packet.Segment{Seq: callISN + 1, Ack: isn + 1, ACK: true, FIN: true})
+	r.reply(1, packet.Segment{Seq: isn + 1, Ack: callISN + 2, ACK: true, FIN: true})
+	r.Equal(r.state(), "closed")
+}
+
+// Guards against last packets that are lost, and against a reused port that is sent to the old connection.
+func TestClosedPin(t *testing.T) {
+	r := newRig(t, packet.TCP, 2)
+	r.establish()
+	r.finish()
+	r.Equal(r.kinds(), []signal.Kind{signal.Opened, signal.Accepted, signal.Closed})
+	host, _ := r.call(packet.Segment{Seq: callISN + 2, Ack: isn + 2, ACK: true})
+	r.Equal(host, uint32(1))
+	r.s.Hosts[0].Leaving = true
+	host, _ = r.call(packet.Segment{Seq: 77, SYN: true})
+	r.Equal([]any{host, r.state()}, []any{uint32(2), "half-open"})
+	host, _ = r.data(isn + 1) // a late packet of the first connection
+	r.Equal(host, uint32(0))
+	r.now += shortTimeout
+	r.Equal(r.state(), "")
+}
+
+// Guards against a caller that cannot use its port again after its old connection was lost.
+func TestSYNOnEstablishedPin(t *testing.T) {
+	for _, c := range []struct {
+		reply *packet.Segment
+		want  string
+	}{
+		{&packet.Segment{Seq: isn + 1 + 1<<30, RST: true}, "closed"},                  // The host holds nothing.
+		{&packet.Segment{Seq: isn + 1<<28, Ack: 78, ACK: true}, "closed"},             // It holds another connection.
+		{&packet.Segment{Seq: isn + 1, Ack: callISN + 1, ACK: true}, "established"},   // It still holds this one.
+		{&packet.Segment{Seq: isn, Ack: callISN + 1, ACK: true, SYN: true}, "silent"}, // no reply to the probe
+	} {
+		r := newRig(t, packet.TCP, 1)
+		r.establish()
+		host, _ := r.call(packet.Segment{Seq: 77, SYN: true})
+		r.Equal([]any{host, r.lastProbe()}, []any{uint32(0), uint32(1)})
+		pass, _ := r.reply(1, *c.reply)
+		r.Equal(pass, c.want != "closed") // The RST must not reach the caller, the ACK makes it reset the connection.
+		if c.want == "silent" {
+			r.now += retryAfter
+		} else {
+			r.Equal(r.state(), c.want)
+		}
+		if c.want == "established" {
+			r.call(packet.Segment{Seq: callISN + 1, RST: true})
+		}
+		host, _ = r.call(packet.Segment{Seq: 77, SYN: true})
+		r.Equal([]any{host, r.state()}, []any{uint32(1), "half-open"})
+	}
+}
+
+// Guards against payload at an old host after a pause in which another entry VM may have moved the flow.
+func TestSuspend(t *testing.T) {
+	r := newRig(t, packet.TCP, 2)
+	r.establish()
+	r.data(isn + 1)
+	r.Suspend()
+	host, _ := r.data(isn + 1)
+	r.Equal([]any{host, r.state(), r.lastProbe()}, []any{uint32(0), "unverified", uint32(1)})
+	r.Equal(r.kinds(), []signal.Kind{
+		signal.Opened, signal.Accepted, signal.Requested, signal.Abandoned, signal.Closed,
+	})
+	r.reply(1, packet.Segment{Seq: isn + 1, Ack: callISN + 8, ACK: true})
+	host, _ = r.data(isn + 1)
+	r.Equal(host, uint32(1))
+	r.Suspend()
+	r.Sweep(r.now) // ends what no packet touches
+	r.Equal(r.kinds(), []signal.Kind{signal.Opened, signal.Requested, signal.Abandoned, signal.Closed})
+}
+
+// Guards against pins that outlive their flows, and against a host that is not blamed for an unanswered SYN.
+func TestIdleTimeouts(t *testing.T) {
+	for _, c := range []struct {
+		open  func(r *rig)
+		after time.Duration
+		want  []signal.Kind
+	}{
+		{func(r *rig) { r.syn() }, shortTimeout, []signal.Kind{signal.Opened, signal.Unanswered, signal.Closed}},
+		{(*rig).establish, time.Hour, []signal.Kind{signal.Opened, signal.Accepted, signal.Closed}},
+	} {
+		r := newRig(t, packet.TCP, 1)
+		c.open(r)
+		r.Sweep(r.now + c.after - time.Millisecond)
+		r.Equal(r.Len(), 1)
+		r.Sweep(r.now + c.after)
+		r.Equal([]any{r.Len(), r.kinds()}, []any{0, c.want})
+	}
+}
+
+// Guards against a tick that stops the packets for long because it visits the whole table.
+func TestSweepAndReleaseAreBounded(t *testing.T) {
+	r := newRig(t, packet.TCP, 1)
+	r.Scan = 10
+	for port := range uint16(25) {
+		r.key = flowKey(packet.TCP, port)
+		r.syn()
+	}
+	r.now += shortTimeout
+	for _, want := range []int{15, 5, 0} {
+		r.Sweep(r.now)
+		r.Equal(r.Len(), want)
+	}
+	for port := range uint16(25) {
+		r.key = flowKey(packet.TCP, port)
+		r.syn()
+	}
+	from := 0
+	none := func(uint32, *packet.Key) bool { return false }
+	for _, want := range []int{10, 20, 0} {
+		from = r.Release(r.now, from, none, nil)
+		r.Equal(from, want)
+	}
+	r.Equal(r.Len(), 0)
+	r.Equal(r.Table.sides[0].pin, (*pin)(nil))
+}
+
+// Guards against a new owner that is not told where the exceptions are, and against hints lost by the backup.
+func TestReleaseHandsExceptionsOver(t *testing.T) {
+	r := newRig(t, packet.TCP, 4)
+	r.Learn(r.now, r.s, &r.key, 2) // another owner's flow
+	keys := []packet.Key{flowKey(packet.TCP, 1), flowKey(packet.TCP, 2), flowKey(packet.TCP, 3)}
+	r.key = keys[0]
+	r.establish() // on the first host of the rank
+	for _, k := range keys[1:] {
+		r.key = k
+		r.data(stray)
+		r.ackProbe(4)
+	}
+	r.Equal(r.hints, []uint32{4, 4})
+	var handed []packet.Key
+	owns := func(_ uint32, k *packet.Key) bool { return *k == keys[2] }
+	r.Release(r.now, 0, owns, func(k *packet.Key, service, host uint32) {
+		r.Equal([]any{service, host}, []any{uint32(1), uint32(4)})
+		handed = append(handed, *k)
+	})
+	r.Equal([]any{handed, r.Len()}, []any{keys[1:2], 2})
+}
+
+// Guards against pins of one service used for another that took over its address.
+func TestPinOfAnotherService(t *testing.T) {
+	r := newRig(t, packet.TCP, 2)
+	r.establish()
+	r.s = service(packet.TCP, 2)
+	r.s.ID = 2
+	pass, reason := r.reply(1, packet.Segment{Seq: isn + 1, Ack: callISN + 1, ACK: true})
+	r.Equal([]any{pass, reason}, []any{false, ReasonForeign})
+	host, reason := r.data(isn + 1)
+	r.Equal([]any{host, reason}, []any{uint32(0), ReasonSearching})
+}
+
+// Guards against a UDP flow that changes its server when the fleet changes, and against owners that disagree.
+func TestDatagrams(t *testing.T) {
+	r := newRig(t, packet.UDP, 5)
+	other := newRig(t, packet.UDP, 5)
+	ask := packet.Segment{Payload: []byte("ask")}
+	first, _ := r.call(ask)
+	twin, _ := other.call(ask)
+	r.Equal(first, twin)
+	r.s.Hosts[first-1].Leaving, other.s.Hosts[first-1].Leaving = true, true
+	r.now += datagramCheck * time.Second
+	host, _ := r.call(ask)
+	r.Equal([]any{host, r.hints}, []any{first, []uint32{first}}) // Others would now choose differently.
+	wrong := first%5 + 1
+	pass, reason := r.reply(wrong, ask)
+	r.Equal([]any{pass, reason}, []any{false, ReasonCrossedReply})
+	pass, _ = r.reply(first, ask)
+	r.True(pass)
+	r.Equal(r.kinds(), []signal.Kind{signal.Opened, signal.Requested, signal.Answered})
+
+	taker := newRig(t, packet.UDP, 5) // takes the flow over with the hint, and without it from return traffic
+	taker.s.Hosts[first-1].Leaving = true
+	taker.Learn(taker.now, taker.s, &r.key, first)
+	host, _ = taker.call(ask)
+	r.Equal(host, first)
+	taker.Suspend()
+	host, _ = taker.call(ask)
+	r.Equal(host, first)
+	pass, _ = taker.reply(first, ask)
+	r.Equal([]any{pass, taker.state()}, []any{true, "established"})
+	taker.key = flowKey(packet.UDP, 2)
+	pass, _ = taker.reply(2, ask)
+	host, _ = taker.call(ask)
+	r.Equal([]any{pass, host}, []any{true, uint32(2)})
+	taker.now += datagramIdle
+	taker.Sweep(taker.now)
+	r.Equal(taker.Len(), 0)
+	r.Equal(taker.kinds(), []signal.Kind{
+		signal.Opened, signal.Requested, signal.Abandoned, signal.Closed, signal.Opened, signal.Requested, signal.Answered,
+		signal.Opened, signal.Requested, signal.Abandoned, signal.Closed, signal.Closed,
+	})
+	taker.s = &fleet.Service{ID: 1}
+	_, reason = taker.call(ask)
+	r.Equal(reason, ReasonNoHost)
+}
--- /dev/null
+++ b/internal/flow/rank.go
@@ -0,0 +1,103 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/rendezvous"
+)
+
+const (
+	// guesses is the number of first hosts of a rank that a new owner finds without a hint at little cost.
+	guesses = 2
+	// Ranks follow learned weights and the configuration, so hosts are compared with them again while packets flow. A
+	// UDP flow moves when its owner changes without a hint, so its hint is also repeated; a TCP flow costs only search
+	// packets.
+	segmentCheck  = 60 // s
+	datagramCheck = 5  // s
+)
+
+// published returns the hosts of the service in the order of their published weights. Hosts that take no new flows are
+// left out unless all is set or no other host is there.
+func (t *Table) published(s *fleet.Service, k *packet.Key, all bool, n int) []*fleet.Host {
+	t.ranker.Reset(k.Hash())
+	usable := false
+	for _, h := range s.Hosts {
+		weight := h.Weight
+		if !all && (h.Leaving || h.OutsideZone) {
+			weight = 0
+		}
+		usable = usable || weight > 0
+		t.ranker.Add(rendezvous.Hash(h.Name), weight)
+	}
+	t.hosts = t.hosts[:0]
+	if !usable && !all {
+		return t.published(s, k, true, n)
+	}
+	for _, i := range t.ranker.First(n) {
+		t.hosts = append(t.hosts, s.Hosts[i])
+	}
+	return t.hosts
+}
+
+// rank returns the hosts in the rank order of a TCP flow; the slice is valid until the next call.
+func (t *Table) rank(s *fleet.Service, k *packet.Key) []*fleet.Host {
+	if t.Rank == nil {
+		return t.published(s, k, true, len(s.Hosts))
+	}
+	t.hosts = t.Rank(s, k, t.hosts[:0])
+	return t.hosts
+}
+
+// pick chooses the host of a new TCP flow.
+func (t *Table) pick(now time.Duration, s *fleet.Service, k *packet.Key, avoid []uint32) (*fleet.Host, string) {
+	if t.Pick != nil {
+		h, reason := t.Pick(now, s, k, avoid)
+		if h != nil && slices.Contains(avoid, h.ID) || h == nil && reason == "" {
+			h, reason = nil, ReasonNoHost
+		}
+		return h, reason
+	}
+	for _, h := range t.published(s, k, true, len(s.Hosts)) {
+		if !h.Leaving && !slices.Contains(avoid, h.ID) {
+			return h, ""
+		}
+	}
+	return nil, ReasonNoHost
+}
+
+// classify notes whether other entry VMs would not guess the host, and gives a hint if so.
+func (t *Table) classify(now time.Duration, s *fleet.Service, n *pin, h *fleet.Host) {
+	n.checked = uint16(now / time.Second)
+	var first []*fleet.Host
+	if n.key.Protocol == packet.UDP {
+		// An owner without a hint sends a UDP flow to the first host only.
+		first = t.published(s, &n.key, false, 1)
+	} else {
+		first = t.rank(s, &n.key)
+		first = first[:min(guesses, len(first))]
+	}
+	for _, f := range first {
+		if f.ID == h.ID {
+			n.flags &^= exception
+			return
+		}
+	}
+	if t.Hint != nil && (!n.is(exception) || n.key.Protocol == packet.UDP) {
+		t.Hint(now, s, &n.key, h)
+	}
+	n.flags |= exception
+}
+
+// reclassify calls classify when the last look is old enough.
+func (t *Table) reclassify(now time.Duration, s *fleet.Service, n *pin, h *fleet.Host) {
+	period := uint16(segmentCheck)
+	if n.key.Protocol == packet.UDP {
+		period = datagramCheck
+	}
+	if uint16(now/time.Second)-n.checked >= period {
+		t.classify(now, s, n, h)
+	}
+}
--- /dev/null
+++ b/internal/flow/store.go
@@ -0,0 +1,145 @@
+package flow
+
+import (
+	"math/bits"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/packet"
+)
+
+// chunkSize is the number of pins allocated at a time; growth never copies a pin, so that pointers stay valid.
+const chunkSize = 4096
+
+type state uint8
+
+// States of a pin; free is an unused entry.
+const (
+	free state = iota
+	halfOpen
+	established
+	unverified
+	closed
+)
+
+func (s state) String() string {
+	return [...]string{"free", "half-open", "established", "unverified", "closed"}[s]
+}
+
+type flag uint8
+
+const (
+	counted     flag = 1 << iota // Opened was observed and Closed was not
+	outstanding                  // Requested was observed and neither Answered nor Abandoned
+	accepted                     // the SYN-ACK of the host is recorded
+	learned                      // known from return traffic only; no packet of the caller has confirmed it
+	callerDone                   // the FIN of the caller passed
+	hostDone                     // the FIN of the host passed
+	exception                    // outside the first hosts of the flow's rank
+	hinted                       // made from a hint of another entry VM and not used since
+)
+
+// pin is one flow. It holds no pointers, so that the garbage collector does not visit the pins.
+type pin struct {
+	key           packet.Key
+	state         state
+	flags         flag
+	since         time.Duration // when the SYN or the outstanding request was sent
+	service, host uint32
+	server        uint32 // half-open: the host's ISN; later the highest sequence number seen from the host
+	caller        uint32 // the highest sequence number seen from the caller
+	deadline      uint32 // in ms; the pin ends when it has passed
+	side          uint32 // the position of the side record plus one; in a free entry the next free slot plus one
+	epoch         uint16 // the epoch of the table in which the pin was last valid
+	checked       uint16 // in s; when the rank of the host was last looked at
+}
+
+func (n *pin) is(f flag) bool { return n.flags&f != 0 }
+
+// ref is an entry of the index; tag holds hash bits, so that most foreign entries are passed over without reading
+// their pins.
+type ref struct {
+	slot uint32 // plus one; zero is empty
+	tag  uint32
+}
+
+// store finds pins by their keys with linear probing.
+type store struct {
+	index    []ref
+	chunks   []*[chunkSize]pin
+	used     uint32 // slots handed out at least once
+	freed    uint32 // first free slot below used, plus one
+	count    int
+	capacity int
+}
+
+func (s *store) init(capacity int) {
+	// The index is at most 4/5 full; linear probing becomes slow above that.
+	size := 1 << bits.Len(uint(max(capacity, 8)*5/4-1))
+	s.index = make([]ref, size)
+	s.capacity = capacity
+}
+
+func (s *store) at(slot uint32) *pin {
+	return &s.chunks[slot/chunkSize][slot%chunkSize]
+}
+
+func (s *store) find(k *packet.Key, hash uint64) *pin {
+	mask := uint32(len(s.index) - 1)
+	tag := uint32(hash)
+	for i := tag & mask; s.index[i].slot != 0; i = (i + 1) & mask {
+		if s.index[i].tag == tag {
+			if n := s.at(s.index[i].slot - 1); n.key == *k {
+				return n
+			}
+		}
+	}
+	return nil
+}
+
+// insert returns a new entry for a key that is not in the store, or nil when the store is full.
+func (s *store) insert(k *packet.Key, hash uint64) *pin {
+	if s.count >= s.capacity {
+		return nil
+	}
+	slot := s.used
+	if s.freed != 0 {
+		slot = s.freed - 1
+		s.freed = s.at(slot).side
+	} else {
+		if slot%chunkSize == 0 {
+			s.chunks = append(s.chunks, new([chunkSize]pin))
+		}
+		s.used++
+	}
+	mask := uint32(len(s.index) - 1)
+	i := uint32(hash) & mask
+	for s.index[i].slot != 0 {
+		i = (i + 1) & mask
+	}
+	s.index[i] = ref{slot: slot + 1, tag: uint32(hash)}
+	s.count++
+	n := s.at(slot)
+	*n = pin{key: *k}
+	return n
+}
+
+// remove deletes the pin and moves later entries of its run back, so that the index needs no markers for deleted
+// entries.
+func (s *store) remove(n *pin) {
+	mask := uint32(len(s.index) - 1)
+	i := uint32(n.key.Hash()) & mask
+	for s.at(s.index[i].slot-1) != n {
+		i = (i + 1) & mask
+	}
+	slot := s.index[i].slot
+	for j := (i + 1) & mask; s.index[j].slot != 0; j = (j + 1) & mask {
+		if home := s.index[j].tag & mask; (j-home)&mask >= (j-i)&mask {
+			s.index[i] = s.index[j]
+			i = j
+		}
+	}
+	s.index[i] = ref{}
+	*n = pin{side: s.freed}
+	s.freed = slot
+	s.count--
+}
