--- /dev/null
+++ b/internal/document/decode.go
@@ -0,0 +1,189 @@
+package document
+
+import (
+	"bytes"
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/netip"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// MaxSize is the greatest size of a document in bytes; the platform serves values of up to 1 MB.
+const MaxSize = 1 << 20
+
+// Decode reads b strictly into the struct that v points to. A struct with a method SetDefaults gets its defaults
+// before its fields are read.
+func Decode(name string, b []byte, v any) error {
+	if len(b) > MaxSize {
+		return &Error{Document: name, Allowed: fmt.Sprintf("at most %d bytes", MaxSize), Got: fmt.Sprintf("%d bytes", len(b))}
+	}
+	// The token reader below does not see trailing data, so the syntax of the whole is checked first.
+	var raw json.RawMessage
+	if err := json.Unmarshal(b, &raw); err != nil {
+		return &Error{Document: name, Allowed: "one JSON value", Got: shorten(err.Error())}
+	}
+	d := decoder{name: name, tokens: json.NewDecoder(bytes.NewReader(b))}
+	d.tokens.UseNumber()
+	return d.value("", reflect.ValueOf(v).Elem())
+}
+
+type decoder struct {
+	name   string
+	tokens *json.Decoder
+}
+
+func (d *decoder) value(path string, v reflect.Value) error {
+	t, err := d.tokens.Token()
+	if err != nil {
+		return d.fail(path, "JSON", err.Error())
+	}
+	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		return d.text(path, t, u)
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		return d.object(path, t, v)
+	case reflect.Slice:
+		return d.list(path, t, v)
+	case reflect.String:
+		if s, ok := t.(string); ok {
+			v.SetString(s)
+			return nil
+		}
+		return d.fail(path, "a string", describe(t))
+	case reflect.Bool:
+		if b, ok := t.(bool); ok {
+			v.SetBool(b)
+			return nil
+		}
+		return d.fail(path, "true or false", describe(t))
+	}
+	return d.number(path, t, v)
+}
+
+func (d *decoder) number(path string, t json.Token, v reflect.Value) error {
+	n, ok := t.(json.Number)
+	switch v.Kind() {
+	case reflect.Int:
+		i, err := strconv.ParseInt(n.String(), 10, 64)
+		if !ok || err != nil {
+			return d.fail(path, "an integer", describe(t))
+		}
+		v.SetInt(i)
+	case reflect.Uint64:
+		u, err := strconv.ParseUint(n.String(), 10, 64)
+		if !ok || err != nil {
+			return d.fail(path, "a non-negative integer", describe(t))
+		}
+		v.SetUint(u)
+	case reflect.Float64:
+		f, err := strconv.ParseFloat(n.String(), 64)
+		if !ok || err != nil || math.IsInf(f, 0) {
+			return d.fail(path, "a number", describe(t))
+		}
+		v.SetFloat(f)
+	default:
+		return d.fail(path, "of a supported type", v.Type().String())
+	}
+	return nil
+}
+
+func (d *decoder) text(path string, t json.Token, u encoding.TextUnmarshaler) error {
+	allowed := "text"
+	switch u.(type) {
+	case *time.Time:
+		allowed = "an RFC 3339 time"
+	case *netip.AddrPort:
+		allowed = `an "ip:port"`
+	case *Duration:
+		allowed = `a duration such as "250ms", "30s" or "1h"`
+	}
+	s, ok := t.(string)
+	// The address types accept an empty text as their zero value.
+	if !ok || s == "" || u.UnmarshalText([]byte(s)) != nil {
+		return d.fail(path, allowed, describe(t))
+	}
+	return nil
+}
+
+func (d *decoder) list(path string, t json.Token, v reflect.Value) error {
+	if t != json.Delim('[') {
+		return d.fail(path, "a list", describe(t))
+	}
+	v.SetLen(0)
+	for i := 0; d.tokens.More(); i++ {
+		e := reflect.New(v.Type().Elem()).Elem()
+		if err := d.value(fmt.Sprintf("%s[%d]", path, i), e); err != nil {
+			return err
+		}
+		v.Set(reflect.Append(v, e))
+	}
+	_, err := d.tokens.Token()
+	return err
+}
+
+func (d *decoder) object(path string, t json.Token, v reflect.Value) error {
+	if t != json.Delim('{') {
+		return d.fail(path, "an object", describe(t))
+	}
+	if s, ok := v.Addr().Interface().(interface{ SetDefaults() }); ok {
+		s.SetDefaults()
+	}
+	names := fieldNames(v.Type())
+	seen := make([]bool, len(names))
+	for d.tokens.More() {
+		k, err := d.tokens.Token()
+		if err != nil {
+			return d.fail(path, "JSON", err.Error())
+		}
+		name, _ := k.(string)
+		field := strings.TrimPrefix(path+"."+shorten(name), ".")
+		i := slices.Index(names, name)
+		if i < 0 {
+			return d.fail(field, "one of the fields "+strings.Join(names, ", "), "an unknown field")
+		}
+		if seen[i] {
+			return d.fail(field, "given once", "the field again")
+		}
+		seen[i] = true
+		if err := d.value(field, v.Field(i)); err != nil {
+			return err
+		}
+	}
+	_, err := d.tokens.Token()
+	return err
+}
+
+func (d *decoder) fail(path, allowed, got string) error {
+	return &Error{Document: d.name, Field: path, Allowed: allowed, Got: shorten(got)}
+}
+
+// Describes a token as an error repeats it.
+func describe(t json.Token) string {
+	switch t := t.(type) {
+	case nil:
+		return "null"
+	case string:
+		return quote(t)
+	case json.Delim:
+		if t == '{' {
+			return "an object"
+		}
+		return "a list"
+	}
+	return fmt.Sprint(t)
+}
+
+func fieldNames(t reflect.Type) []string {
+	names := make([]string, t.NumField())
+	for i := range names {
+		names[i], _, _ = strings.Cut(t.Field(i).Tag.Get("json"), ",")
+	}
+	return names
+}
