Add the fleet picture and the spreading of documents

Cause: accepted documents have to be in force everywhere within 6 s and must never revert, also when the platform is down, serves an old copy, or two publications carry the same version. Change: fleet.Picture ranks documents by version alone and builds services and hosts from them; spread.Spreader decides which document to request from which peer, announces new versions to three peers and holds documents of the platform back during a start or a refresh.

--- /dev/null
+++ b/internal/fleet/build.go
@@ -0,0 +1,135 @@
+package fleet
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/inventory"
+	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/rules"
+)
+
+// Builds the services and hosts from the documents in force. Everything is built anew, so that whoever still holds a
+// service or host of the former set can go on reading it.
+func (p *Picture) build() {
+	p.generation++
+	p.services = nil
+	p.byListener, p.byAddress = map[listener]*Service{}, map[netip.Addr]tenant{}
+	if p.serviceIDs == nil {
+		p.serviceIDs, p.hostIDs = map[string]uint32{}, map[string]uint32{}
+	}
+	byName := map[string]*Service{}
+	if p.inventory != nil {
+		for i := range p.inventory.Services {
+			s := p.newService(&p.inventory.Services[i])
+			byName[s.Name] = s
+			p.services = append(p.services, s)
+		}
+		for i := range p.inventory.Hosts {
+			h := &p.inventory.Hosts[i]
+			s := byName[h.Service]
+			s.Hosts = append(s.Hosts, p.newHost(h))
+		}
+	}
+	slices.SortFunc(p.services, func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
+	for _, s := range p.services {
+		slices.SortFunc(s.Hosts, func(a, b *Host) int { return cmp.Compare(a.Name, b.Name) })
+		for _, h := range s.Hosts {
+			p.byAddress[h.Address.Addr()] = tenant{s, h}
+		}
+	}
+	p.ignored = p.applyRules(byName)
+	p.Counters.SetGauge("rules-ignored", int64(p.ignored))
+}
+
+func (p *Picture) newService(d *inventory.Service) *Service {
+	s := &Service{
+		ID: idOf(p.serviceIDs, d.Name), Name: d.Name, Protocol: packet.TCP, Addresses: d.Addresses,
+		OwnerGroup: d.OwnerGroup, IdleTimeout: time.Duration(d.IdleTimeout), WarmUp: time.Duration(d.WarmUp),
+		MaxWait: time.Duration(d.MaxWait),
+	}
+	if d.Protocol == "udp" {
+		s.Protocol = packet.UDP
+	}
+	for _, a := range d.Addresses {
+		p.byListener[listener{a.Addr().As16(), a.Port(), s.Protocol}] = s
+	}
+	return s
+}
+
+func (p *Picture) newHost(d *inventory.Host) *Host {
+	return &Host{
+		ID: idOf(p.hostIDs, d.Name), Name: d.Name, Zone: d.AvailabilityZone, Address: d.Address, Weight: d.Weight,
+		Slots: d.Slots, Connections: d.Connections, Started: d.Started,
+	}
+}
+
+// Returns the ID of a name. Names are never removed, because pins and sums may still refer to a host that comes back.
+func idOf(ids map[string]uint32, name string) uint32 {
+	id, ok := ids[name]
+	if !ok {
+		id = uint32(len(ids) + 1)
+		ids[name] = id
+	}
+	return id
+}
+
+// Applies the rules to the services and returns the number of names that the inventory does not have. Whatever is
+// unknown now takes effect when an inventory names it, so the order in which the documents arrive does not matter.
+func (p *Picture) applyRules(services map[string]*Service) int {
+	if p.rules == nil {
+		return 0
+	}
+	hosts, zones := map[string]*Host{}, map[string]bool{}
+	for _, s := range p.services {
+		for _, h := range s.Hosts {
+			hosts[h.Name] = h
+		}
+	}
+	if p.inventory != nil {
+		for _, z := range p.inventory.AvailabilityZones {
+			zones[z] = true
+		}
+	}
+	ignored := 0
+	for _, name := range p.rules.Leaving {
+		if h := hosts[name]; h != nil {
+			h.Leaving = true
+		} else {
+			ignored++
+		}
+	}
+	for _, r := range p.rules.Hosts {
+		if h := hosts[r.Name]; h != nil {
+			h.MaxShare = r.MaxShare
+		} else {
+			ignored++
+		}
+	}
+	for _, r := range p.rules.Services {
+		ignored += restrict(services[r.Name], r, zones)
+	}
+	return ignored
+}
+
+func restrict(s *Service, r rules.Service, zones map[string]bool) int {
+	if s == nil {
+		return 1
+	}
+	ignored := 0
+	for _, z := range r.AvailabilityZones {
+		if !zones[z] {
+			ignored++
+		}
+	}
+	// Zones that are all unknown are most likely a spelling fault and restrict nothing.
+	if ignored == len(r.AvailabilityZones) {
+		return ignored
+	}
+	for _, h := range s.Hosts {
+		h.OutsideZone = !slices.Contains(r.AvailabilityZones, h.Zone)
+	}
+	return ignored
+}
--- /dev/null
+++ b/internal/fleet/picture.go
@@ -0,0 +1,192 @@
+package fleet
+
+import (
+	"bytes"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/masticspar/masticspar/internal/counter"
+	"github.com/masticspar/masticspar/internal/inventory"
+	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/rules"
+)
+
+// Reasons for which Offer refuses a document; their text is part of the name of the counter.
+const (
+	// ErrStale is a version below the one in force; it is ordinary while an update spreads.
+	ErrStale = errors.ConstError("stale")
+	// ErrConflict is the version in force with other content: two publications used the same number.
+	ErrConflict = errors.ConstError("conflict")
+	// ErrInvalid is a document that cannot be decoded or does not validate.
+	ErrInvalid = errors.ConstError("invalid")
+)
+
+// Refusal is the last document that was refused as invalid or conflicting.
+type Refusal struct {
+	// Kind and Source are what was offered and by whom.
+	Kind   Kind
+	Source string
+	// Error says why it was refused.
+	Error string
+	// Time is when it was refused.
+	Time time.Duration
+}
+
+// Picture is the accepted configuration; the zero value has no documents and is ready for use.
+type Picture struct {
+	// Counters counts accepted and refused documents by kind and reason; nil counts nothing.
+	Counters *counter.Set
+	// Now returns the time that Accepted and LastRefusal report; nil reports zero.
+	Now func() time.Duration
+
+	inventory  *inventory.Document
+	rules      *rules.Document
+	documents  [len(Kinds)]accepted
+	refusal    Refusal
+	generation uint64
+	ignored    int
+
+	services   []*Service
+	byListener map[listener]*Service
+	byAddress  map[netip.Addr]tenant
+	serviceIDs map[string]uint32
+	hostIDs    map[string]uint32
+}
+
+type accepted struct {
+	bytes   []byte
+	version Version
+	source  string
+	at      time.Duration
+}
+
+type listener struct {
+	address  [16]byte
+	port     uint16
+	protocol uint8
+}
+
+type tenant struct {
+	service *Service
+	host    *Host
+}
+
+// Offer puts a document in force if its version is greater than the one in force, and reports whether it did.
+// The same content again is no change. The picture keeps its own copy of b.
+func (p *Picture) Offer(kind Kind, source string, b []byte) (bool, error) {
+	if kind != Inventory && kind != Rules {
+		return false, p.refuse(kind, source, errors.WithType(errors.Errorf("document kind %d is unknown", kind), ErrInvalid))
+	}
+	running := &p.documents[kind-1]
+	if running.version.Number > 0 && bytes.Equal(b, running.bytes) {
+		return false, nil
+	}
+	number, use, err := p.decode(kind, b)
+	switch {
+	case err != nil:
+		return false, p.refuse(kind, source, errors.WithType(err, ErrInvalid))
+	case number < running.version.Number:
+		err := errors.Errorf("%s: version %d is lower than %d, which is in force", kind, number, running.version.Number)
+		return false, p.refuse(kind, source, errors.WithType(err, ErrStale))
+	case number == running.version.Number:
+		err := errors.Errorf("%s: version %d from %s has other content than the one in force from %s",
+			kind, number, source, running.source)
+		return false, p.refuse(kind, source, errors.WithType(err, ErrConflict))
+	}
+	use()
+	*running = accepted{bytes: bytes.Clone(b), version: Version{Number: number, Hash: HashOf(b)}, source: source, at: p.now()}
+	p.build()
+	p.Counters.Add("document-accepted-"+kind.String(), 1)
+	return true, nil
+}
+
+// Compare refuses a version that a peer has in force when it has the number of the one in force here but other content.
+func (p *Picture) Compare(kind Kind, source string, v Version) error {
+	running := p.Versions().Of(kind)
+	if v.Number == 0 || v.Number != running.Number || v.Hash == running.Hash {
+		return nil
+	}
+	err := errors.Errorf("%s: version %d of %s has other content than the one in force", kind, v.Number, source)
+	return p.refuse(kind, source, errors.WithType(err, ErrConflict))
+}
+
+// Returns the version number of the document and the function that puts it in force.
+func (p *Picture) decode(kind Kind, b []byte) (uint64, func(), error) {
+	if kind == Rules {
+		d, err := rules.Decode(b)
+		if err != nil {
+			return 0, nil, err
+		}
+		return d.Version, func() { p.rules = d }, nil
+	}
+	d, err := inventory.Decode(b)
+	if err != nil {
+		return 0, nil, err
+	}
+	return d.Version, func() { p.inventory = d }, nil
+}
+
+func (p *Picture) refuse(kind Kind, source string, err error) error {
+	for _, reason := range []errors.ConstError{ErrStale, ErrConflict, ErrInvalid} {
+		if errors.Is(err, reason) {
+			p.Counters.Add("document-refused-"+string(reason)+"-"+kind.String(), 1)
+		}
+	}
+	// A stale document needs no one's attention and would hide a refusal that does.
+	if !errors.Is(err, ErrStale) {
+		p.refusal = Refusal{Kind: kind, Source: source, Error: err.Error(), Time: p.now()}
+	}
+	return err
+}
+
+func (p *Picture) now() time.Duration {
+	if p.Now == nil {
+		return 0
+	}
+	return p.Now()
+}
+
+// Versions returns the versions in force.
+func (p *Picture) Versions() Versions {
+	return Versions{Inventory: p.documents[Inventory-1].version, Rules: p.documents[Rules-1].version}
+}
+
+// Document returns the bytes of the document in force, nil if there is none; they must not be changed.
+func (p *Picture) Document(kind Kind) []byte {
+	if kind != Inventory && kind != Rules {
+		return nil
+	}
+	return p.documents[kind-1].bytes
+}
+
+// Accepted returns when and from whom the document in force was accepted.
+func (p *Picture) Accepted(kind Kind) (at time.Duration, source string) {
+	if kind != Inventory && kind != Rules {
+		return 0, ""
+	}
+	return p.documents[kind-1].at, p.documents[kind-1].source
+}
+
+// LastRefusal returns the last invalid or conflicting document; the zero value means that there was none.
+func (p *Picture) LastRefusal() Refusal { return p.refusal }
+
+// Generation is raised by each accepted document.
+func (p *Picture) Generation() uint64 { return p.generation }
+
+// Ignored is the number of names in the rules that the inventory does not have.
+func (p *Picture) Ignored() int { return p.ignored }
+
+// Services returns all services in the order of their names; the slice must not be changed.
+func (p *Picture) Services() []*Service { return p.services }
+
+// Lookup returns the service at the destination address, port and protocol of the key, or nil.
+func (p *Picture) Lookup(k *packet.Key) *Service {
+	return p.byListener[listener{k.Destination, k.DestinationPort, k.Protocol}]
+}
+
+// HostAt returns the host with the IP address and its service, or nil.
+func (p *Picture) HostAt(a netip.Addr) (*Service, *Host) {
+	t := p.byAddress[a.Unmap()]
+	return t.service, t.host
+}
--- /dev/null
+++ b/internal/fleet/version.go
@@ -0,0 +1,54 @@
+package fleet
+
+import "github.com/cespare/xxhash/v2"
+
+// Kind is one of the two published documents.
+type Kind uint8
+
+// The published documents.
+const (
+	Inventory Kind = iota + 1
+	Rules
+)
+
+// Kinds are all kinds.
+var Kinds = [...]Kind{Inventory, Rules}
+
+// String returns the name of the document.
+func (k Kind) String() string {
+	switch k {
+	case Inventory:
+		return "inventory"
+	case Rules:
+		return "rules"
+	}
+	return "unknown"
+}
+
+// Version identifies the content of a document; the zero value means that there is none.
+type Version struct {
+	// Number ranks the document.
+	Number uint64 `cbor:"1,keyasint,omitempty" json:"number"`
+	// Hash is the hash of its bytes.
+	Hash uint64 `cbor:"2,keyasint,omitempty" json:"hash"`
+}
+
+// Versions are the versions of both documents that a process has in force.
+type Versions struct {
+	Inventory Version `cbor:"1,keyasint,omitempty" json:"inventory"`
+	Rules     Version `cbor:"2,keyasint,omitempty" json:"rules"`
+}
+
+// Of returns the version of one kind.
+func (v Versions) Of(kind Kind) Version {
+	switch kind {
+	case Inventory:
+		return v.Inventory
+	case Rules:
+		return v.Rules
+	}
+	return Version{}
+}
+
+// HashOf returns the hash of a document that Version carries.
+func HashOf(b []byte) uint64 { return xxhash.Sum64(b) }
--- /dev/null
+++ b/internal/spread/message.go
@@ -0,0 +1,40 @@
+package spread
+
+import "github.com/masticspar/masticspar/internal/fleet"
+
+// Message is exactly one of the messages that Spreaders exchange.
+type Message struct {
+	Query    *Query    `cbor:"1,keyasint,omitempty"`
+	Digest   *Digest   `cbor:"2,keyasint,omitempty"`
+	Request  *Request  `cbor:"3,keyasint,omitempty"`
+	Document *Document `cbor:"4,keyasint,omitempty"`
+}
+
+// Query asks for a Digest.
+type Query struct {
+	// Round is repeated in the answer. An answer to an earlier round may have waited in a queue during a pause.
+	Round uint64 `cbor:"1,keyasint"`
+}
+
+// Digest tells what the sender has in force. Pings carry it with a zero Round.
+type Digest struct {
+	Versions fleet.Versions `cbor:"1,keyasint"`
+	// Round is the round of the Query that this answers, zero for an announcement.
+	Round uint64 `cbor:"2,keyasint,omitempty"`
+	// Ready says that the sender has itself finished its start or refresh.
+	Ready bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Request asks for a document.
+type Request struct {
+	Kind fleet.Kind `cbor:"1,keyasint"`
+	// After is the version that the sender has; only a greater one is of use.
+	After uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// Document answers a Request.
+type Document struct {
+	Kind fleet.Kind `cbor:"1,keyasint"`
+	// Bytes are the published bytes, empty when the sender has nothing greater than what was asked for.
+	Bytes []byte `cbor:"2,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/spread/spreader.go
@@ -0,0 +1,301 @@
+package spread
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/counter"
+	"github.com/masticspar/masticspar/internal/fleet"
+)
+
+// Bounds in time and number.
+const (
+	// RequestDeadline is the time after which another peer is asked; a later answer is still used. With 1 s and one
+	// message in five lost, some processes needed more than the 6 s in which an update has to be in force.
+	RequestDeadline = 500 * time.Millisecond
+	// QueryPeriod is the time between two queries during a start or a refresh.
+	QueryPeriod = 500 * time.Millisecond
+	// ReadyBound is the longest time for which a start or a refresh holds back documents of the platform.
+	ReadyBound = 3 * time.Second
+	// Fanout is the number of peers that a new version is announced to.
+	Fanout = 3
+	// DefaultMaxRequests allows one request for each document; a second one would only fetch the same bytes again.
+	DefaultMaxRequests = len(fleet.Kinds)
+)
+
+// Most refused versions that are remembered, so that a peer cannot make the memory grow.
+const maxRefused = 64
+
+// Spreader keeps the documents of one process in step with its peers. Call Start before anything else.
+type Spreader struct {
+	// Picture holds the documents.
+	Picture *fleet.Picture
+	// Send sends a message to a peer or a contact.
+	Send func(to string, m Message)
+	// Peers returns the names of the members that may be asked.
+	Peers func() []string
+	// Contacts are the addresses to ask before any peer is known.
+	Contacts []string
+	// MaxRequests bounds the requests without an answer; zero selects DefaultMaxRequests.
+	MaxRequests int
+	// Counters counts requests, retries by reason and conflicts; nil counts nothing.
+	Counters *counter.Set
+	// Changed is called with the kind of each newly accepted document; nil is not called.
+	Changed func(now time.Duration, kind fleet.Kind)
+
+	random   *rand.Rand
+	ready    bool
+	round    uint64
+	began    time.Duration
+	queried  time.Duration
+	answered bool
+
+	claims   map[string]fleet.Versions
+	requests map[fleet.Kind]request
+	asked    map[fleet.Kind]map[string]time.Duration
+	refused  map[offer]bool
+	held     map[fleet.Kind][][]byte
+}
+
+type request struct {
+	to       string
+	deadline time.Duration
+}
+
+type offer struct {
+	kind    fleet.Kind
+	version fleet.Version
+}
+
+// Start begins the life of a process: it asks the contacts. Equal seeds make equal choices.
+func (s *Spreader) Start(now time.Duration, seed uint64) {
+	s.random = rand.New(rand.NewPCG(seed, seed))
+	s.claims = map[string]fleet.Versions{}
+	s.refused = map[offer]bool{}
+	s.round = s.random.Uint64() >> 1
+	s.Resume(now)
+}
+
+// Resume begins a refresh after a pause: it asks contacts and peers as a fresh process does.
+func (s *Spreader) Resume(now time.Duration) {
+	s.ready, s.answered = false, false
+	s.began = now
+	s.round++
+	s.requests = map[fleet.Kind]request{}
+	s.asked = map[fleet.Kind]map[string]time.Duration{}
+	for _, kind := range fleet.Kinds {
+		s.asked[kind] = map[string]time.Duration{}
+	}
+	s.held = map[fleet.Kind][][]byte{}
+	s.query(now)
+}
+
+// Ready reports whether the start or the refresh is over.
+func (s *Spreader) Ready() bool { return s.ready }
+
+// Digest returns what pings carry.
+func (s *Spreader) Digest() Digest { return Digest{Versions: s.Picture.Versions(), Ready: s.ready} }
+
+// Tick ends overdue requests and repeats queries; call it several times a second.
+func (s *Spreader) Tick(now time.Duration) {
+	for _, kind := range fleet.Kinds {
+		if r, ok := s.requests[kind]; ok && now >= r.deadline {
+			s.Counters.Add("document-retry-deadline-"+kind.String(), 1)
+			delete(s.requests, kind)
+		}
+	}
+	if !s.ready && now-s.queried >= QueryPeriod {
+		s.query(now)
+	}
+	s.proceed(now)
+}
+
+// Platform takes a document that the platform served and reports whether it was put in force.
+func (s *Spreader) Platform(now time.Duration, kind fleet.Kind, b []byte) (bool, error) {
+	if s.ready {
+		return s.offer(now, kind, "platform", b)
+	}
+	// The platform serves a few documents at most before the bound passes; the last two cover an update meanwhile.
+	s.held[kind] = append(s.held[kind], slices.Clone(b))
+	if n := len(s.held[kind]); n > 2 {
+		s.held[kind] = slices.Delete(s.held[kind], 0, n-2)
+	}
+	return false, nil
+}
+
+// Handle takes a message from a peer.
+func (s *Spreader) Handle(now time.Duration, from string, m Message) {
+	switch {
+	case m.Query != nil:
+		d := s.Digest()
+		d.Round = m.Query.Round
+		s.Send(from, Message{Digest: &d})
+	case m.Digest != nil:
+		s.heard(now, from, m.Digest)
+	case m.Request != nil:
+		d := &Document{Kind: m.Request.Kind}
+		if s.Picture.Versions().Of(d.Kind).Number > m.Request.After {
+			d.Bytes = s.Picture.Document(d.Kind)
+		}
+		s.Send(from, Message{Document: d})
+	case m.Document != nil:
+		s.received(now, from, m.Document)
+	}
+}
+
+// Forget drops what is known about a peer that is dead or has left.
+func (s *Spreader) Forget(now time.Duration, peer string) {
+	delete(s.claims, peer)
+	for _, kind := range fleet.Kinds {
+		delete(s.asked[kind], peer)
+		if r, ok := s.requests[kind]; ok && r.to == peer {
+			s.Counters.Add("document-retry-gone-"+kind.String(), 1)
+			delete(s.requests, kind)
+		}
+	}
+	s.proceed(now)
+}
+
+func (s *Spreader) query(now time.Duration) {
+	s.queried = now
+	to := slices.Concat(s.Contacts, s.sample(Fanout))
+	for _, name := range to {
+		s.Send(name, Message{Query: &Query{Round: s.round}})
+	}
+}
+
+func (s *Spreader) heard(now time.Duration, from string, d *Digest) {
+	s.claims[from] = d.Versions
+	for _, kind := range fleet.Kinds {
+		_ = s.Picture.Compare(kind, from, d.Versions.Of(kind)) // The picture counts and keeps the refusal.
+	}
+	// A peer that is itself starting knows no more than this process.
+	if d.Round == s.round && d.Ready {
+		s.answered = true
+	}
+	s.proceed(now)
+}
+
+func (s *Spreader) received(now time.Duration, from string, d *Document) {
+	if !slices.Contains(fleet.Kinds[:], d.Kind) {
+		s.Counters.Add("document-refused-unknown-kind", 1)
+		return
+	}
+	// A late answer of a peer that was asked before is still of use, but leaves the present request open.
+	if s.requests[d.Kind].to == from {
+		delete(s.requests, d.Kind)
+	}
+	claim := s.claims[from].Of(d.Kind)
+	if len(d.Bytes) > 0 {
+		if _, err := s.offer(now, d.Kind, from, d.Bytes); err != nil && len(s.refused) < maxRefused {
+			s.refused[offer{d.Kind, fleet.Version{Number: claim.Number, Hash: fleet.HashOf(d.Bytes)}}] = true
+		}
+	}
+	if claim.Number > s.Picture.Versions().Of(d.Kind).Number {
+		s.Counters.Add("document-retry-not-served-"+d.Kind.String(), 1)
+	}
+	s.proceed(now)
+}
+
+func (s *Spreader) offer(now time.Duration, kind fleet.Kind, source string, b []byte) (bool, error) {
+	changed, err := s.Picture.Offer(kind, source, b)
+	if !changed {
+		return false, err
+	}
+	clear(s.asked[kind])
+	clear(s.refused)
+	if s.Changed != nil {
+		s.Changed(now, kind)
+	}
+	d := s.Digest()
+	for _, peer := range s.sample(Fanout) {
+		s.Send(peer, Message{Digest: &d})
+	}
+	return true, err
+}
+
+// Sends the requests that are due and ends the start or the refresh when nothing is missing.
+func (s *Spreader) proceed(now time.Duration) {
+	bound := cmp.Or(s.MaxRequests, DefaultMaxRequests)
+	missing := false
+	for _, kind := range fleet.Kinds {
+		if _, ok := s.requests[kind]; ok {
+			missing = true
+			continue
+		}
+		peer, behind := s.choose(now, kind)
+		missing = missing || behind
+		if peer == "" || len(s.requests) >= bound {
+			continue
+		}
+		s.asked[kind][peer] = now
+		s.requests[kind] = request{to: peer, deadline: now + RequestDeadline}
+		s.Counters.Add("document-requested-"+kind.String(), 1)
+		s.Send(peer, Message{Request: &Request{Kind: kind, After: s.Picture.Versions().Of(kind).Number}})
+	}
+	if !s.ready && (s.answered && !missing || now-s.began >= ReadyBound) {
+		s.finish(now)
+	}
+}
+
+func (s *Spreader) finish(now time.Duration) {
+	if !s.answered {
+		s.Counters.Add("refresh-unanswered", 1)
+	}
+	s.ready = true
+	held := s.held
+	s.held = nil
+	for _, kind := range fleet.Kinds {
+		for _, b := range held[kind] {
+			// The picture counts and keeps a refusal.
+			_, _ = s.offer(now, kind, "platform", b)
+		}
+	}
+}
+
+// Returns the peer to ask for a greater version than the one in force, and whether any peer has one. Peers that were
+// not asked yet come first, then those with the greatest version, then a random one. A peer is not asked again before
+// RequestDeadline passed, so that one that does not serve what it claims is not asked in a loop.
+func (s *Spreader) choose(now time.Duration, kind fleet.Kind) (peer string, behind bool) {
+	running := s.Picture.Versions().Of(kind).Number
+	var names []string
+	for name, v := range s.claims {
+		if v := v.Of(kind); v.Number > running && !s.refused[offer{kind, v}] {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names) // The order of a map would make the choice depend on more than the seed.
+	var best []string
+	var greatest uint64
+	fresh := false
+	for _, name := range names {
+		at, again := s.asked[kind][name]
+		if again && (fresh || now-at < RequestDeadline) {
+			continue
+		}
+		number := s.claims[name].Of(kind).Number
+		if !again && !fresh || number > greatest {
+			best, greatest = nil, number
+		}
+		fresh = !again
+		if number == greatest {
+			best = append(best, name)
+		}
+	}
+	if len(best) == 0 {
+		return "", len(names) > 0
+	}
+	return best[s.random.IntN(len(best))], true
+}
+
+// Returns up to n random peers.
+func (s *Spreader) sample(n int) []string {
+	if s.Peers == nil {
+		return nil
+	}
+	peers := slices.Clone(s.Peers())
+	s.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(n, len(peers))]
+}
--- /dev/null
+++ b/internal/spread/spreader_test.go
@@ -0,0 +1,224 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/counter"
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/matryer/is"
+)
+
+// The bound of requirement R8: an accepted configuration is in force everywhere within 6 s.
+const bound = 6 * time.Second
+
+func forSeeds(t *testing.T, test func(t *testing.T, seed uint64)) {
+	for seed := uint64(1); seed <= 10; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { test(t, seed) })
+	}
+}
+
+// Guards against a process that stays behind when the platform reaches only half of the fleet, or none after the first.
+func TestUpdateReachesHalf(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		w := newNetwork(t, seed, 12)
+		w.publish(1, "h1", w.nodes[:6]...)
+		w.settle(bound, 1, w.nodes)
+		w.publish(2, "h2", w.nodes[3]) // The platform is down for all others.
+		w.loss = 0.2
+		w.settle(bound, 2, w.nodes)
+	})
+}
+
+// Guards against announcements that are not sent: in 200 ms pings alone reach only a few processes.
+func TestAnnouncementsOutrunPings(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		w := newNetwork(t, seed, 40)
+		w.publish(1, "h1", w.nodes[0])
+		w.advance(200 * time.Millisecond)
+		reached := 0
+		for _, n := range w.nodes {
+			if n.picture.Versions().Rules.Number == 1 {
+				reached++
+			}
+		}
+		if reached < 30 {
+			t.Fatalf("%d of 40 processes have the version", reached)
+		}
+		t.Logf("%d of 40 after 200 ms, all after %v", reached, w.settle(bound, 1, w.nodes))
+	})
+}
+
+// Guards against a fresh or resumed process that puts an old copy of the platform in force.
+func TestPlatformServesOldCopy(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		is := is.New(t)
+		w := newNetwork(t, seed, 8)
+		w.publish(5, "h1", w.nodes...)
+		w.settle(bound, 5, w.nodes)
+		w.platform = func(*node) []byte { return rulesOf(3, "h9") }
+		fresh := w.join()
+		for !fresh.spread.Ready() {
+			w.publish(3, "h9", fresh)
+			w.advance(10 * time.Millisecond)
+			if v := fresh.picture.Versions().Rules.Number; v != 0 && v != 5 {
+				t.Fatal("in force: ", v)
+			}
+		}
+		is.Equal(fresh.picture.Versions().Rules.Number, uint64(5))
+		is.True(w.now < 60*time.Second)
+		w.settle(bound, 5, w.nodes)
+	})
+}
+
+// Guards against a flip between two contents of one version, against a conflict that nobody sees and against one that
+// the next version does not end.
+func TestTwoOperatorsPublishAtOnce(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		w := newNetwork(t, seed, 12)
+		w.publish(1, "h1", w.nodes...)
+		// A platform without compare-and-set gives each half other content; check fails when one flips.
+		w.publish(2, "h2", w.nodes[:6]...)
+		w.publish(2, "h3", w.nodes[6:]...)
+		w.settle(bound, 2, w.nodes)
+		w.advance(bound)
+		for _, n := range w.nodes {
+			if n.picture.LastRefusal().Kind != fleet.Rules || n.picture.Counters.Values()["document-refused-conflict-rules"] == 0 {
+				t.Fatal(n.name, n.picture.LastRefusal())
+			}
+		}
+		// With compare-and-set the second publication is repeated as version 3.
+		w.publish(3, "h3", w.nodes[11])
+		w.settle(bound, 3, w.nodes)
+	})
+}
+
+// Guards against a zone that does not catch up after a partition.
+func TestZoneCutAndHeal(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		is := is.New(t)
+		w := newNetwork(t, seed, 12)
+		w.publish(1, "h1", w.nodes...)
+		w.cut[1] = true
+		w.publish(2, "h2", w.nodes[0])
+		var connected, apart []*node
+		for _, n := range w.nodes {
+			if n.zone == 1 {
+				apart = append(apart, n)
+			} else {
+				connected = append(connected, n)
+			}
+		}
+		w.settle(bound, 2, connected)
+		w.advance(time.Minute)
+		for _, n := range apart {
+			is.Equal(n.picture.Versions().Rules.Number, uint64(1))
+		}
+		w.cut[1] = false
+		w.settle(bound, 2, w.nodes)
+	})
+}
+
+// Guards against a resumed process that trusts answers which waited in its queue or goes on with an old view.
+func TestPauseAndResume(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		w := newNetwork(t, seed, 8)
+		w.publish(1, "h1", w.nodes...)
+		n := w.nodes[4]
+		n.paused = true
+		w.advance(time.Second)
+		w.publish(2, "h2", w.nodes[0])
+		w.advance(19 * time.Second)
+		n.paused = false
+		n.spread.Resume(w.now)
+		for !n.spread.Ready() {
+			w.advance(time.Millisecond)
+		}
+		if v := n.picture.Versions().Rules.Number; v != 2 {
+			t.Fatal("ready with version ", v)
+		}
+	})
+}
+
+// Guards against a request that waits forever for a peer that does not serve what it claims.
+func TestRetryFromAnotherPeer(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		w := newNetwork(t, seed, 6)
+		for _, n := range w.nodes[:3] {
+			n.silent = true
+		}
+		w.publish(1, "h1", w.nodes[:4]...)
+		w.settle(bound, 1, w.nodes)
+	})
+}
+
+func single() (*Spreader, *[]Message) {
+	var sent []Message
+	s := &Spreader{
+		Picture: &fleet.Picture{}, Contacts: []string{"c1", "c2"}, Counters: counter.New(),
+		Send: func(_ string, m Message) { sent = append(sent, m) },
+	}
+	s.Start(0, 1)
+	return s, &sent
+}
+
+// Guards against a start that waits without end, or that ends by an answer that says nothing about the present.
+func TestReady(t *testing.T) {
+	is := is.New(t)
+	s, sent := single()
+	is.Equal(len(*sent), 2)
+	round := (*sent)[0].Query.Round
+	changed, err := s.Platform(0, fleet.Rules, rulesOf(3, "h1"))
+	is.True(!changed && err == nil)
+	s.Handle(0, "p", Message{Digest: &Digest{Ready: true}})
+	s.Handle(0, "p", Message{Digest: &Digest{Round: round - 1, Ready: true}})
+	s.Handle(0, "p", Message{Digest: &Digest{Round: round}})
+	s.Tick(QueryPeriod)
+	is.Equal(len(*sent), 4) // The first queries may be lost.
+	s.Tick(2999 * time.Millisecond)
+	is.True(!s.Ready())
+	s.Tick(3 * time.Second)
+	is.True(s.Ready())
+	is.Equal(s.Picture.Versions().Rules.Number, uint64(3))
+	s.Resume(10 * time.Second)
+	is.True(!s.Ready())
+	s.Handle(10*time.Second, "p", Message{Digest: &Digest{Round: round + 1, Ready: true}})
+	is.True(s.Ready())
+}
+
+// Guards against a peer that makes this process ask in a loop: one that claims a version and serves an invalid or no
+// document, and against more requests at once than allowed.
+func TestRequestsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s, sent := single()
+	bad := []byte(`{"version":7,"leaving":[""]}`)
+	claim := fleet.Versions{Rules: fleet.Version{Number: 7, Hash: fleet.HashOf(bad)}, Inventory: fleet.Version{Number: 9}}
+	requests := func() (n int) {
+		for _, m := range *sent {
+			if m.Request != nil {
+				n++
+			}
+		}
+		return n
+	}
+	for _, peer := range []string{"p1", "p2", "p3"} {
+		s.Handle(0, peer, Message{Digest: &Digest{Versions: claim}})
+	}
+	is.Equal(requests(), 2) // One for each document.
+	other, otherSent := single()
+	for _, peer := range []string{"p1", "p2", "p3"} {
+		other.Handle(0, peer, Message{Digest: &Digest{Versions: fleet.Versions{Rules: claim.Rules}}})
+	}
+	is.Equal(len(*otherSent), 3) // Two queries and one request: a second one would fetch the same bytes.
+	for range 10 {
+		for _, peer := range []string{"p1", "p2", "p3"} {
+			s.Handle(0, peer, Message{Document: &Document{Kind: fleet.Rules, Bytes: bad}})
+			s.Handle(0, peer, Message{Document: &Document{Kind: fleet.Inventory}})
+			s.Handle(0, peer, Message{Document: &Document{Kind: 99, Bytes: bad}})
+		}
+	}
+	is.Equal(requests(), 4) // The invalid rules once, the inventory once from each peer.
+	is.NoErr(s.Picture.Compare(fleet.Rules, "p1", claim.Rules))
+	is.Equal(s.Picture.LastRefusal().Kind, fleet.Rules)
+}
