--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,6 @@
 	@test -z "$$(gofumpt -l .)" || { gofumpt -d . ; exit 1; }
 	go vet $(PACKAGES)
 	golangci-lint run $(PACKAGES)
+
+model:
+	./model/run
--- a/internal/geneve/geneve.go
+++ b/internal/geneve/geneve.go
@@ -1,6 +1,8 @@
 package geneve
 
 import (
+	"net/netip"
+
 	"github.com/gopacket/gopacket"
 	"github.com/gopacket/gopacket/layers"
 	"github.com/juju/errors"
@@ -15,28 +17,46 @@
 // HeaderSize is the number of bytes that the encapsulation adds before the IP packet.
 const HeaderSize = 8
 
+// HostOptionSize is the number of bytes that the host option adds between entry VMs.
+const HostOptionSize = 20
+
+// The host option carries the IP address of the host that sent a return packet; the class is in the range for experiments.
+const (
+	hostOptionClass = 0xff01
+	hostOptionType  = 1
+)
+
 // ErrForeign says that a datagram is not an encapsulation of this system.
-const ErrForeign = errors.ConstError("foreign datagram")
+const ErrForeign = errors.ConstError("foreign")
 
 const optionLengthMask = 0x3f
 
-// Codec reads and writes encapsulations; the zero value is ready and reuses its buffers.
+// Codec reads encapsulations; the zero value is ready and reuses its buffers.
 type Codec struct {
 	// Direction is ToService or ToCaller, as of the last Decode.
 	Direction int
 	// Hops counts the entry VMs that passed the packet on, as of the last Decode.
 	Hops int
+	// Host is the address in the host option, as of the last Decode; it is invalid without that option.
+	Host netip.Addr
 
 	header layers.Geneve
+	fixed  [HeaderSize]byte
 }
 
-// Decode returns the IP packet inside datagram and sets Direction and Hops.
+// Decode returns the IP packet inside datagram and sets Direction, Hops and Host.
 func (c *Codec) Decode(datagram []byte) ([]byte, error) {
-	// Options are refused before decoding, so that the decoder does not allocate.
-	if len(datagram) <= HeaderSize || datagram[0]&optionLengthMask != 0 {
+	if len(datagram) <= HeaderSize {
 		return nil, ErrForeign
 	}
-	if err := c.header.DecodeFromBytes(datagram, gopacket.NilDecodeFeedback); err != nil {
+	inner, err := c.decodeOption(datagram)
+	if err != nil {
+		return nil, err
+	}
+	// The library decodes the fixed part only, because its option decoder allocates.
+	copy(c.fixed[:], datagram)
+	c.fixed[0] &^= optionLengthMask
+	if err := c.header.DecodeFromBytes(c.fixed[:], gopacket.NilDecodeFeedback); err != nil {
 		return nil, ErrForeign
 	}
 	if c.header.Version != 0 || c.header.OAMPacket || c.header.CriticalOption {
@@ -50,14 +70,43 @@
 	if c.Direction != ToService && c.Direction != ToCaller || c.header.VNI>>16 != 0 {
 		return nil, ErrForeign
 	}
-	return c.header.Payload, nil
+	return inner, nil
+}
+
+// decodeOption accepts no option or the host option alone.
+func (c *Codec) decodeOption(datagram []byte) ([]byte, error) {
+	c.Host = netip.Addr{}
+	switch datagram[0] & optionLengthMask {
+	case 0:
+		return datagram[HeaderSize:], nil
+	case HostOptionSize / 4:
+	default:
+		return nil, ErrForeign
+	}
+	if len(datagram) <= HeaderSize+HostOptionSize {
+		return nil, ErrForeign
+	}
+	option := datagram[HeaderSize : HeaderSize+HostOptionSize]
+	if [4]byte(option) != hostOptionHeader {
+		return nil, ErrForeign
+	}
+	c.Host = netip.AddrFrom16([16]byte(option[4:])).Unmap()
+	return datagram[HeaderSize+HostOptionSize:], nil
 }
 
-// Append appends the encapsulation of the IP packet inner to dst.
-func Append(dst, inner []byte, direction, hops int) []byte {
+var hostOptionHeader = [4]byte{hostOptionClass >> 8, hostOptionClass & 0xff, hostOptionType, (HostOptionSize - 4) / 4}
+
+// Append appends the encapsulation of the IP packet inner to dst. A valid host is added as the host option.
+func Append(dst, inner []byte, direction, hops int, host netip.Addr) []byte {
 	header := [HeaderSize]byte{2: 0x08, 5: uint8(hops), 6: uint8(direction)}
 	if len(inner) > 0 && inner[0]>>4 == 6 {
 		header[2], header[3] = 0x86, 0xdd
 	}
-	return append(append(dst, header[:]...), inner...)
+	if !host.IsValid() {
+		return append(append(dst, header[:]...), inner...)
+	}
+	header[0] = HostOptionSize / 4
+	address := host.As16()
+	dst = append(append(dst, header[:]...), hostOptionHeader[:]...)
+	return append(append(dst, address[:]...), inner...)
 }
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -96,7 +96,7 @@
 	}
 	var out []byte
 	m.host.Emit = func(inner []byte, _ *packet.Key) {
-		out = geneve.Append(out[:0], inner, geneve.ToCaller, 0)
+		out = geneve.Append(out[:0], inner, geneve.ToCaller, 0, netip.Addr{})
 		m.conn.Send(s.Fabric, out)
 	}
 	m.mu.Lock()
--- a/internal/standin/caller/client.go
+++ b/internal/standin/caller/client.go
@@ -36,7 +36,7 @@
 	defer c.mu.Unlock()
 	var out []byte
 	c.Caller.Emit = func(inner []byte) {
-		out = geneve.Append(out[:0], inner, geneve.ToService, 0)
+		out = geneve.Append(out[:0], inner, geneve.ToService, 0, netip.Addr{})
 		c.conn.Send(c.Fabric, out)
 	}
 	conn, stop, err := datagram.New(c.Address, func(_ netip.AddrPort, b []byte) {
