--- a/internal/fabric/socket.go
+++ b/internal/fabric/socket.go
@@ -21,8 +21,9 @@
 	rotationPeriod = 5 * time.Second // bounds the time that a flow stays on a silently dropping path
 	batchSize      = 64              // datagrams for each system call; larger batches gain little and add latency
 	queueSize      = 4 * batchSize   // datagrams that each sending socket keeps while its send buffer is full
-	bufferSize     = 2048            // bytes; holds a datagram of every permitted inner MTU
-	socketBuffer   = 4 << 20         // bytes asked of the kernel, which may grant less
+	errorPause     = time.Millisecond
+	bufferSize     = 2048    // bytes; holds a datagram of every permitted inner MTU
+	socketBuffer   = 4 << 20 // bytes asked of the kernel, which may grant less
 )
 
 // Datagram is one received UDP payload.
@@ -81,8 +82,9 @@
 			case errors.Is(err, net.ErrClosed):
 				return nil
 			default:
-				// A pending ICMP error is reported on a later read and does not end the socket.
+				// Errors of the kernel pass, such as a lack of memory; the pause keeps a lasting one from using a core.
 				s.unread.Inc(1)
+				time.Sleep(errorPause)
 			}
 		}
 		return nil
--- a/internal/standin/backend/host.go
+++ b/internal/standin/backend/host.go
@@ -15,9 +15,10 @@
 const (
 	defaultSlots       = 2
 	defaultConnections = 2000
-	lingerTime         = 5 * time.Second // outlasts the retries of a peer that missed the last ACK on a working path
-	maxDatagram        = 1200            // bytes of a UDP response; larger requests are ignored
-	chunkSize          = 64 << 10        // bytes of a response queued at once; bounds memory of slow transfers
+	lingerTime         = 5 * time.Second       // outlasts the retries of a peer that missed the last ACK on a working path
+	maxDatagram        = 1200                  // bytes of a UDP response; larger requests are ignored
+	sweepPeriod        = 20 * time.Millisecond // much shorter than the first retransmission timeout
+	chunkSize          = 64 << 10              // bytes of a response queued at once; bounds memory of slow transfers
 )
 
 // Host is one backend server; Emit and Services must be set before use. It is not safe for concurrent use.
@@ -54,6 +55,7 @@
 	queue       []job
 	running     []job // unordered; at most Slots
 	modeSince   time.Duration
+	sweepDue    time.Duration
 }
 
 // Statistics are the counts of a host.
@@ -264,6 +266,10 @@
 		return
 	}
 	h.advance(now)
+	if now < h.sweepDue {
+		return
+	}
+	h.sweepDue = now + sweepPeriod
 	for key, c := range h.connections {
 		c.endpoint.Tick(now)
 		for c.fed < c.feed.Count && now >= c.feedDue && c.endpoint.Established() && h.Mode.Kind != Silent {
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -21,7 +21,8 @@
 type Server struct {
 	// Name is the prefix of the host names, which end in the number of the host.
 	Name string
-	// Address is the fabric address of the first host; the next ones follow it on the same port.
+	// Address is the fabric address of the first host; the next ones follow it on the same port. Port 0 gives each
+	// host a free port.
 	Address netip.AddrPort
 	// Count is the number of hosts.
 	Count int
@@ -85,7 +86,7 @@
 }
 
 func (s *Server) open(i int, address netip.AddrPort) (*machine, func(), error) {
-	m := &machine{address: address, host: Host{
+	m := &machine{host: Host{
 		Name: fmt.Sprintf("%s-%d", s.Name, i), Services: s.Services, Slots: s.Slots,
 		MaxConnections: s.MaxConnections, ServiceTime: s.ServiceTime,
 		Random:   rand.New(rand.NewPCG(s.Seed, uint64(i))),
@@ -106,8 +107,11 @@
 		defer m.mu.Unlock()
 		m.host.Datagram(s.Timer.Now(), source, b)
 	})
-	m.conn = conn
-	return m, stop, err
+	if err != nil {
+		return nil, nil, err
+	}
+	m.conn, m.address = conn, conn.Addr()
+	return m, stop, nil
 }
 
 func (s *Server) executed(token string) {
--- a/internal/standin/caller/report.go
+++ b/internal/standin/caller/report.go
@@ -32,7 +32,8 @@
 	WholeFeeds int `json:"whole-feeds"` // part of Whole
 	// Refused counts flows reset as the answer to their SYN, before any payload.
 	Refused int `json:"refused"`
-	// Broken counts the other flows by cause: reset-after-payload, timeout, connect-timeout, wrong-bytes, early-close.
+	// Broken counts the other flows by cause: reset-after-payload, timeout, connect-timeout, wrong-bytes, early-close,
+	// moved (answered by another host than before).
 	Broken map[string]int `json:"broken"`
 	// Hosts counts the whole answers of each host.
 	Hosts map[string]int `json:"hosts"`
