Add the platform watcher and its stand-in

Cause: documents and the VM list are read from the platform's configuration service, which may be down, slow, stale or behind a connection that went silent. Change: platform.Watcher keeps one long poll for each document with a deadline, a new connection after each failure, jittered exponential pauses and a bounded body, and counts each retry by reason. It also pauses when the service returns a document that is not put in force or does not wait. standin/platform serves the reads, accepts only greater versions and has switches for down, slow and old copies; cmd/standin-platform runs it. Without the explicit disconnect the test of the new local port still passes, because net/http also closes a connection whose request ended by a deadline.

--- /dev/null
+++ b/cmd/standin-platform/main.go
@@ -0,0 +1,100 @@
+// Command standin-platform stands in for the configuration service of the platform in the demo and in measurements.
+//
+// It serves GET /documents/{inventory|rules}?after=VERSION&wait=SECONDS and GET /vms, takes publications at
+// POST /publish/{inventory|rules}, and POST /switch/{down|old|slow}?value=VALUE turns faults on and off. With a
+// directory, it publishes the files inventory.json, rules.json and vms.json whenever they change.
+package main
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"github.com/juju/errors"
+	"github.com/masticspar/masticspar/internal/standin/platform"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"gopkg.in/tomb.v2"
+)
+
+func main() {
+	listen, directory := "127.0.0.1:7070", ""
+	flaggy.SetName("standin-platform")
+	flaggy.SetDescription("Stands in for the configuration service of the platform. Example: " +
+		"standin-platform -listen 127.0.0.1:7070 -directory ./config")
+	flaggy.String(&listen, "l", "listen", "address to serve HTTP on")
+	flaggy.String(&directory, "d", "directory", "directory with inventory.json, rules.json and vms.json to publish")
+	flaggy.Parse()
+	log := zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(zap.NewProductionEncoderConfig()), zapcore.Lock(os.Stdout), zap.InfoLevel))
+	if err := run(listen, directory, log); err != nil {
+		log.Error("stopped", zap.Error(err))
+		os.Exit(1)
+	}
+}
+
+func run(address, directory string, log *zap.Logger) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	log.Info("listening", zap.Stringer("address", listener.Addr()))
+	stand := &platform.Server{}
+	server := &http.Server{Handler: stand.Handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	var tb tomb.Tomb
+	tb.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Trace(err)
+		}
+		return nil
+	})
+	if directory != "" {
+		tb.Go(func() error {
+			follow(&tb, stand, directory, log)
+			return nil
+		})
+	}
+	select {
+	case s := <-stop:
+		log.Info("stopping", zap.Stringer("signal", s))
+		tb.Kill(nil)
+	case <-tb.Dying():
+	}
+	_ = server.Close() // Waiting reads are cut, which is what their readers have to bear anyway.
+	return tb.Wait()
+}
+
+// Publishes the files of the directory whenever their content changes.
+func follow(tb *tomb.Tomb, stand *platform.Server, directory string, log *zap.Logger) {
+	seen := map[string][]byte{}
+	ticker := time.NewTicker(500 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		for _, name := range []string{"inventory", "rules", "vms"} {
+			b, err := os.ReadFile(filepath.Join(directory, name+".json"))
+			if err != nil || bytes.Equal(b, seen[name]) {
+				continue
+			}
+			seen[name] = b
+			if name == "vms" {
+				err = stand.SetVMs(b)
+			} else {
+				err = stand.Publish(name, b)
+			}
+			log.Info("file read", zap.String("document", name), zap.Int("bytes", len(b)), zap.Error(err))
+		}
+		select {
+		case <-ticker.C:
+		case <-tb.Dying():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/watcher_test.go
@@ -0,0 +1,173 @@
+package platform
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/counter"
+	"github.com/masticspar/masticspar/internal/document"
+	"github.com/masticspar/masticspar/internal/fleet"
+	standin "github.com/masticspar/masticspar/internal/standin/platform"
+	"github.com/matryer/is"
+)
+
+// A client is what a daemon does with the documents: it takes the greatest version.
+type client struct {
+	mu       sync.Mutex
+	picture  fleet.Picture
+	list     []VM
+	counters *counter.Set
+}
+
+func (c *client) watch(t *testing.T, h http.Handler) {
+	t.Helper()
+	server := httptest.NewServer(h)
+	c.counters = counter.New()
+	_, stop, err := New(Config{
+		URL: server.URL, Seed: 1, Counters: c.counters, Wait: time.Second, Deadline: 100 * time.Millisecond,
+		MinPause: 20 * time.Millisecond, MaxPause: 100 * time.Millisecond,
+		Version: c.version,
+		Document: func(kind fleet.Kind, b []byte) bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			changed, _ := c.picture.Offer(kind, "platform", b)
+			return changed
+		},
+		VMs: func(list []VM) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.list = list
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		stop()
+		server.Close() // Waits for the connections, so a watch that stop leaves open would be seen here.
+	})
+}
+
+func (c *client) version(kind fleet.Kind) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.picture.Versions().Of(kind).Number
+}
+
+func (c *client) retries(name string) int64 { return c.counters.Values()["platform-retry-"+name] }
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(6 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("did not happen: ", what)
+		}
+	}
+}
+
+func publish(t *testing.T, s *standin.Server, version int) {
+	t.Helper()
+	for _, kind := range []string{"inventory", "rules"} {
+		if err := s.Publish(kind, fmt.Appendf(nil, `{"version":%d}`, version)); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against a watch that misses an update, does not come back after an outage, or asks a service that serves old
+// copies in a loop.
+func TestWatch(t *testing.T) {
+	is := is.New(t)
+	s, c := &standin.Server{}, &client{}
+	publish(t, s, 1)
+	is.NoErr(s.SetVMs([]byte(`[{"name":"vm-1","control-address":"127.0.0.1:7","availability-zone":"a","state":"live"}]`)))
+	c.watch(t, s.Handler())
+	has := func(n uint64) func() bool {
+		return func() bool { return c.version(fleet.Inventory) == n && c.version(fleet.Rules) == n }
+	}
+	eventually(t, "version 1", has(1))
+	eventually(t, "VM list", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.list) == 1 && c.list[0] == VM{"vm-1", "127.0.0.1:7", "a", "live"}
+	})
+	publish(t, s, 2)
+	eventually(t, "version 2", has(2))
+	s.SetDown(true)
+	eventually(t, "retry", func() bool { return c.retries("status-rules") >= 2 })
+	publish(t, s, 3)
+	s.SetDown(false)
+	eventually(t, "version 3", has(3))
+	s.SetOld(true)
+	eventually(t, "old copy", func() bool { return c.retries("not-newer-rules") >= 1 })
+	before := s.Reads()
+	time.Sleep(500 * time.Millisecond)
+	is.True(s.Reads()-before <= 2*500/10) // Two watches, and pauses of at least half of MinPause.
+	is.True(has(3)())
+	publish(t, s, 4)
+	s.SetOld(false)
+	s.SetSlow(50 * time.Millisecond)
+	eventually(t, "version 4", has(4))
+}
+
+// Guards against a watch that waits on a silent connection or goes on using its local port.
+func TestSilentConnection(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	var ports []string
+	c := &client{}
+	c.watch(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/documents/rules" {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		mu.Lock()
+		ports = append(ports, r.RemoteAddr)
+		n := len(ports)
+		mu.Unlock()
+		if n == 1 {
+			<-r.Context().Done()
+			return
+		}
+		_, _ = fmt.Fprint(w, `{"version":1}`)
+	}))
+	eventually(t, "version 1", func() bool { return c.version(fleet.Rules) == 1 })
+	mu.Lock()
+	defer mu.Unlock()
+	is.True(ports[0] != ports[1])
+	is.Equal(c.retries("timeout-rules"), int64(1))
+}
+
+// Guards against a response of any size that is read into memory, one that does not wait and one that is not a list.
+func TestFaultyResponses(t *testing.T) {
+	c := &client{}
+	c.watch(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/documents/rules":
+			_, _ = w.Write(make([]byte, document.MaxSize+2))
+		case "/documents/inventory":
+			w.WriteHeader(http.StatusNotModified)
+		default:
+			_, _ = fmt.Fprint(w, `{}`)
+		}
+	}))
+	eventually(t, "retries", func() bool {
+		return c.retries("too-large-rules") > 0 && c.retries("early-inventory") > 0 && c.retries("decode-vms") > 0
+	})
+}
+
+// Guards against settings that would only fail later.
+func TestNewRefuses(t *testing.T) {
+	for _, u := range []string{"", "ftp://host", "http://", "host:80"} {
+		if _, _, err := New(Config{
+			URL: u, Version: func(fleet.Kind) uint64 { return 0 },
+			Document: func(fleet.Kind, []byte) bool { return false },
+		}); err == nil {
+			t.Error(u)
+		}
+	}
+}
