Add the settings of the daemon

Cause: a daemon has to refuse settings that cannot work before it opens a socket. Change: settings.Settings with strict decoding, defaults and validation; errors name the file, the field and the range. The flow capacity defaults to 500,000: 300,000 open flows today plus those of a VM that fails.

--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,123 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/document"
+)
+
+// Settings are the settings of one entry VM.
+type Settings struct {
+	// Name is the name of the VM, unique in the whole system.
+	Name string `json:"name"`
+	// Region and AvailabilityZone are where the VM runs.
+	Region           string `json:"region"`
+	AvailabilityZone string `json:"availability-zone"`
+	// Size is the relative size of the VM; it owns flows in proportion.
+	Size float64 `json:"size"`
+
+	// FabricAddress receives encapsulated packets from the fabric and from hosts.
+	FabricAddress netip.AddrPort `json:"fabric-address"`
+	// Fabric are the addresses to which packets for callers are sent.
+	Fabric []netip.AddrPort `json:"fabric"`
+	// DataAddress receives encapsulated packets from other entry VMs.
+	DataAddress netip.AddrPort `json:"data-address"`
+	// ControlAddress is where peers connect by QUIC.
+	ControlAddress netip.AddrPort `json:"control-address"`
+	// OperatorAddress serves status, flow, drain and metrics by HTTP.
+	OperatorAddress netip.AddrPort `json:"operator-address"`
+	// Contacts are control addresses of other entry VMs to ask at the start.
+	Contacts []netip.AddrPort `json:"contacts,omitempty"`
+	// Platform is the base URL of the configuration service.
+	Platform string `json:"platform"`
+
+	// CAFile, CertificateFile and KeyFile are PEM files for the mutual TLS between peers.
+	CAFile          string `json:"ca-file"`
+	CertificateFile string `json:"certificate-file"`
+	KeyFile         string `json:"key-file"`
+
+	// MTU is the greatest size of a caller's IP packet in bytes.
+	MTU int `json:"mtu"`
+	// FlowCapacity is the greatest number of open flows.
+	FlowCapacity int `json:"flow-capacity"`
+	// ControlBytesPerSecond bounds what the process sends to its peers.
+	ControlBytesPerSecond int `json:"control-bytes-per-second"`
+	// DrainTimeout bounds the hand-over before a planned stop.
+	DrainTimeout document.Duration `json:"drain-timeout"`
+}
+
+// SetDefaults sets the fields that a file may leave out.
+func (s *Settings) SetDefaults() {
+	s.Size = 1
+	s.MTU = 1440
+	// An entry VM holds 300,000 open flows today; the rest is for the flows of a VM that fails.
+	s.FlowCapacity = 500_000
+	s.ControlBytesPerSecond = 4096
+	s.DrainTimeout = document.Duration(30 * time.Second)
+}
+
+// Decode reads settings strictly and validates them; file is the name that errors carry.
+func Decode(file string, b []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := document.Decode(file, b, s); err != nil {
+		return nil, err
+	}
+	if err := s.Validate(file); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Validate returns the first fault of the settings; file is the name that errors carry.
+func (s *Settings) Validate(file string) error {
+	c := &document.Checker{Document: file}
+	c.Name("name", s.Name)
+	c.Name("region", s.Region)
+	c.Name("availability-zone", s.AvailabilityZone)
+	c.That(s.Size >= 0.01 && s.Size <= 100, "size", "a number from 0.01 to 100", s.Size)
+	s.checkAddresses(c)
+	u, err := url.Parse(s.Platform)
+	c.That(err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "" && u.RawQuery == "" && u.Fragment == "",
+		"platform", "an http or https URL without a query", fmt.Sprintf("%q", s.Platform))
+	c.That(s.CAFile != "", "ca-file", "the name of a PEM file", "nothing")
+	c.That(s.CertificateFile != "", "certificate-file", "the name of a PEM file", "nothing")
+	c.That(s.KeyFile != "", "key-file", "the name of a PEM file", "nothing")
+	// IPv6 requires links to carry 1280 bytes; the upper end leaves room for the outer headers in a jumbo frame.
+	c.Integer("mtu", s.MTU, 1280, 8900)
+	c.Integer("flow-capacity", s.FlowCapacity, 1000, 10_000_000)
+	c.Integer("control-bytes-per-second", s.ControlBytesPerSecond, 1024, 1<<20)
+	c.Duration("drain-timeout", s.DrainTimeout, time.Second, 10*time.Minute)
+	return c.Err()
+}
+
+func (s *Settings) checkAddresses(c *document.Checker) {
+	// The sockets are UDP but for the HTTP one, so only UDP addresses can collide.
+	own := map[netip.AddrPort]bool{}
+	for _, a := range []struct {
+		field   string
+		address netip.AddrPort
+	}{
+		{"fabric-address", s.FabricAddress},
+		{"data-address", s.DataAddress},
+		{"control-address", s.ControlAddress},
+	} {
+		c.Address(a.field, a.address)
+		document.Unique(c, own, a.field, "an address that no other field has", a.address)
+	}
+	c.Address("operator-address", s.OperatorAddress)
+	c.That(len(s.Fabric) > 0, "fabric", "a list of at least 1 address", "none")
+	fabric, contacts := map[netip.AddrPort]bool{}, map[netip.AddrPort]bool{}
+	for i, a := range s.Fabric {
+		field := fmt.Sprintf("fabric[%d]", i)
+		c.Address(field, a)
+		document.Unique(c, fabric, field, "a unique address", a)
+	}
+	for i, a := range s.Contacts {
+		field := fmt.Sprintf("contacts[%d]", i)
+		c.Address(field, a)
+		document.Unique(c, contacts, field, "a unique address", a)
+	}
+}
