--- /dev/null
+++ b/cmd/masticsparctl/check.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+
+	"github.com/juju/errors"
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/operator"
+)
+
+// A report is the outcome of check.
+type report struct {
+	// Inventory and Rules are the versions of the checked files.
+	Inventory uint64 `json:"inventory"`
+	Rules     uint64 `json:"rules"`
+	// Ignored is the number of names in the rules that the inventory does not have.
+	Ignored int `json:"ignored-rules"`
+	// Refused says for each file why it would be refused.
+	Refused []string `json:"refused"`
+	// Warnings are legal but probably not what was meant.
+	Warnings []string `json:"warnings"`
+	// Compared says that there was something to compare with; only then Changes has a meaning.
+	Compared bool     `json:"compared"`
+	Changes  []change `json:"changes"`
+}
+
+// A change is one difference of a host.
+type change struct {
+	Host    string `json:"host"`
+	Service string `json:"service"`
+	// What is added, removed, leaving, share, weight, zone, outside-zone, address or service.
+	What string `json:"what"`
+	From string `json:"from"`
+	To   string `json:"to"`
+}
+
+// A hostView is what check compares of a host.
+type hostView struct {
+	service, zone        string
+	address              netip.AddrPort
+	weight, share        float64
+	leaving, outsideZone bool
+}
+
+func (c *command) check(a arguments) int {
+	switch {
+	case a.inventory == "" || a.rules == "":
+		return c.fail(errors.WithType(errors.New("check needs --inventory and --rules"), errUsage))
+	case (a.oldInventory == "") != (a.oldRules == ""):
+		return c.fail(errors.WithType(errors.New("--old-inventory and --old-rules go together"), errUsage))
+	case a.oldInventory != "" && a.operator != "":
+		return c.fail(errors.WithType(errors.New("compare with either --operator or --old-inventory and --old-rules"), errUsage))
+	}
+	picture, err := load(a.inventory, a.rules)
+	if err != nil {
+		return c.fail(err)
+	}
+	v := picture.Versions()
+	r := &report{
+		Inventory: v.Inventory.Number, Rules: v.Rules.Number, Ignored: picture.Ignored(), Warnings: warnings(picture),
+		Refused: []string{}, Changes: []change{},
+	}
+	switch {
+	case a.oldInventory != "":
+		old, err := load(a.oldInventory, a.oldRules)
+		if err != nil {
+			return c.fail(err)
+		}
+		r.compare(v, old.Versions(), view(old), view(picture))
+	case a.operator != "":
+		status, err := c.client.status()
+		if err != nil {
+			return c.fail(err)
+		}
+		running, err := versionsOf(status)
+		if err != nil {
+			return c.fail(err)
+		}
+		r.compare(v, running, viewStatus(status), view(picture))
+	}
+	if code := c.write(r, r.table); code != exitOK {
+		return code
+	}
+	if len(r.Refused) > 0 {
+		return exitInvalid
+	}
+	return exitOK
+}
+
+// Reads and validates both files.
+func load(inventory, rules string) (*fleet.Picture, error) {
+	p := &fleet.Picture{}
+	for _, f := range []struct {
+		kind fleet.Kind
+		name string
+	}{{fleet.Inventory, inventory}, {fleet.Rules, rules}} {
+		b, err := os.ReadFile(f.name)
+		if err != nil {
+			return nil, errors.WithType(err, errUsage)
+		}
+		if _, err := p.Offer(f.kind, f.name, b); err != nil {
+			return nil, errors.Annotate(err, f.name)
+		}
+	}
+	return p, nil
+}
+
+func (r *report) compare(offered, running fleet.Versions, before, after map[string]hostView) {
+	r.Compared = true
+	for _, kind := range fleet.Kinds {
+		o, n := offered.Of(kind), running.Of(kind)
+		switch {
+		case o.Number < n.Number:
+			r.Refused = append(r.Refused, fmt.Sprintf("%s: version %d is lower than %d, which is in force", kind, o.Number, n.Number))
+		case o.Number == n.Number && o.Hash != n.Hash:
+			r.Refused = append(r.Refused, fmt.Sprintf("%s: version %d is in force with other content", kind, o.Number))
+		}
+	}
+	r.Changes = append(r.Changes, diff(before, after)...)
+}
+
+func versionsOf(s *operator.Status) (v fleet.Versions, err error) {
+	for _, d := range []struct {
+		document operator.Document
+		version  *fleet.Version
+	}{{s.Inventory, &v.Inventory}, {s.Rules, &v.Rules}} {
+		d.version.Number = d.document.Version
+		if d.document.Version == 0 {
+			continue
+		}
+		if _, err := fmt.Sscanf(d.document.Hash, "%016x", &d.version.Hash); err != nil {
+			return v, errors.WithType(errors.Errorf("hash %q in the status is not hexadecimal", d.document.Hash), errUnreachable)
+		}
+	}
+	return v, nil
+}
+
+// Names services that would have no host for new flows.
+func warnings(p *fleet.Picture) []string {
+	list := []string{}
+	if n := p.Ignored(); n > 0 {
+		list = append(list, fmt.Sprintf("%d names in the rules are unknown and ignored", n))
+	}
+	for _, s := range p.Services() {
+		serving, inside, shares, limited := 0, 0, 0.0, true
+		for _, h := range s.Hosts {
+			if h.Leaving {
+				continue
+			}
+			serving++
+			if !h.OutsideZone {
+				inside++
+			}
+			limited = limited && h.MaxShare > 0
+			shares += h.MaxShare
+		}
+		switch {
+		case serving == 0:
+			list = append(list, fmt.Sprintf("service %s has no host that takes new flows", s.Name))
+		case inside == 0:
+			list = append(list, fmt.Sprintf("service %s has no host in its availability zones", s.Name))
+		case limited && shares < 1:
+			list = append(list, fmt.Sprintf("the shares of service %s add up to %s only", s.Name, share(shares)))
+		}
+	}
+	return list
+}
+
+func (r *report) table(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "inventory version %d and rules version %d are valid\n", r.Inventory, r.Rules)
+	for _, text := range r.Warnings {
+		_, _ = fmt.Fprintln(w, "warning:", text)
+	}
+	for _, text := range r.Refused {
+		_, _ = fmt.Fprintln(w, "would be refused:", text)
+	}
+	switch {
+	case !r.Compared:
+	case len(r.Changes) == 0:
+		_, _ = fmt.Fprintln(w, "no host changes")
+	default:
+		rows := [][]any{{"SERVICE", "HOST", "CHANGE", "FROM", "TO"}}
+		for _, c := range r.Changes {
+			rows = append(rows, []any{c.Service, c.Host, c.What, orDash(c.From), orDash(c.To)})
+		}
+		table(w, rows)
+	}
+}
--- /dev/null
+++ b/cmd/masticsparctl/client.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/masticspar/masticspar/internal/operator"
+)
+
+const (
+	errUsage       = errors.ConstError("usage")
+	errRefused     = errors.ConstError("refused")
+	errUnreachable = errors.ConstError("unreachable")
+)
+
+// The status of 5,700 hosts with every field has about 2 MB.
+const maxResponse = 8 << 20
+
+type client struct {
+	address string
+	timeout time.Duration
+}
+
+func (c *client) exchange(method, path string, v any) error {
+	if _, err := netip.ParseAddrPort(c.address); err != nil {
+		return errors.WithType(errors.Errorf("--operator must be an \"ip:port\", got %q", c.address), errUsage)
+	}
+	if c.timeout <= 0 {
+		return errors.WithType(errors.Errorf("--timeout must be above 0, got %v", c.timeout), errUsage)
+	}
+	request, err := http.NewRequest(method, "http://"+c.address+path, http.NoBody)
+	if err != nil {
+		return errors.WithType(err, errUsage)
+	}
+	// A proxy of the environment has no path to the operator addresses.
+	h := http.Client{Timeout: c.timeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := h.Do(request)
+	if err != nil {
+		return errors.WithType(err, errUnreachable)
+	}
+	defer func() { _ = response.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(response.Body, maxResponse))
+	if err != nil {
+		return errors.WithType(err, errUnreachable)
+	}
+	if code := response.StatusCode; code != http.StatusOK {
+		reason := errUnreachable
+		if code >= 400 && code < 500 {
+			reason = errRefused
+		}
+		text, _, _ := strings.Cut(string(b), "\n")
+		return errors.WithType(errors.Errorf("%s: status %d: %.200s", c.address, code, text), reason)
+	}
+	if err := json.Unmarshal(b, v); err != nil {
+		return errors.WithType(errors.Annotatef(err, "response of %s", c.address), errUnreachable)
+	}
+	return nil
+}
+
+func (c *client) status() (*operator.Status, error) {
+	s := &operator.Status{}
+	return s, c.exchange(http.MethodGet, "/status", s)
+}
+
+func (c *client) flow(protocol, source, destination string) (*operator.Flow, error) {
+	if protocol != "tcp" && protocol != "udp" {
+		return nil, errors.WithType(errors.Errorf("--protocol must be tcp or udp, got %q", protocol), errUsage)
+	}
+	for _, f := range []struct{ name, address string }{{"source", source}, {"destination", destination}} {
+		if _, err := netip.ParseAddrPort(f.address); err != nil {
+			return nil, errors.WithType(errors.Errorf("--%s must be an \"ip:port\", got %q", f.name, f.address), errUsage)
+		}
+	}
+	v := &operator.Flow{}
+	query := url.Values{"protocol": {protocol}, "source": {source}, "destination": {destination}}
+	return v, c.exchange(http.MethodGet, "/flow?"+query.Encode(), v)
+}
+
+func (c *client) drain() (*operator.Drain, error) {
+	d := &operator.Drain{}
+	return d, c.exchange(http.MethodPost, "/drain", d)
+}
+
+// Writes the error and returns the exit code for it.
+func (c *command) fail(err error) int {
+	_, _ = fmt.Fprintln(c.errors, "masticsparctl:", err)
+	switch {
+	case errors.Is(err, errUsage):
+		return exitUsage
+	case errors.Is(err, errUnreachable):
+		return exitUnreachable
+	}
+	return exitInvalid
+}
+
+func (c *command) write(v any, table func(w io.Writer)) int {
+	if !c.json {
+		table(c.out)
+		return exitOK
+	}
+	e := json.NewEncoder(c.out)
+	e.SetIndent("", "  ")
+	if err := e.Encode(v); err != nil {
+		return c.fail(err)
+	}
+	return exitOK
+}
--- /dev/null
+++ b/cmd/masticsparctl/diff.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/operator"
+)
+
+func view(p *fleet.Picture) map[string]hostView {
+	hosts := map[string]hostView{}
+	for _, s := range p.Services() {
+		for _, h := range s.Hosts {
+			hosts[h.Name] = hostView{
+				service: s.Name, zone: h.Zone, address: h.Address, weight: h.Weight, share: h.MaxShare,
+				leaving: h.Leaving, outsideZone: h.OutsideZone,
+			}
+		}
+	}
+	return hosts
+}
+
+func viewStatus(s *operator.Status) map[string]hostView {
+	hosts := map[string]hostView{}
+	for _, v := range s.Services {
+		for _, h := range v.Hosts {
+			hosts[h.Name] = hostView{
+				service: v.Name, zone: h.AvailabilityZone, address: h.Address, weight: h.Weight, share: h.MaxShare,
+				leaving: h.Leaving, outsideZone: h.OutsideZone,
+			}
+		}
+	}
+	return hosts
+}
+
+// Returns the differences of all hosts in the order of service, host and kind of change.
+func diff(before, after map[string]hostView) []change {
+	var list []change
+	for name, old := range before {
+		if _, ok := after[name]; !ok {
+			list = append(list, change{Host: name, Service: old.service, What: "removed"})
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(after)) {
+		h := after[name]
+		old, ok := before[name]
+		if !ok {
+			list = append(list, change{Host: name, Service: h.service, What: "added"})
+			old = hostView{service: h.service, zone: h.zone, address: h.address, weight: h.weight}
+		}
+		add := func(what string, from, to any) {
+			if from != to {
+				list = append(list, change{Host: name, Service: h.service, What: what, From: fmt.Sprint(from), To: fmt.Sprint(to)})
+			}
+		}
+		add("service", old.service, h.service)
+		add("zone", old.zone, h.zone)
+		add("address", old.address, h.address)
+		add("weight", old.weight, h.weight)
+		add("share", share(old.share), share(h.share))
+		add("leaving", old.leaving, h.leaving)
+		add("outside-zone", old.outsideZone, h.outsideZone)
+	}
+	slices.SortFunc(list, func(a, b change) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Host, b.Host), cmp.Compare(a.What, b.What))
+	})
+	return list
+}
--- /dev/null
+++ b/cmd/masticsparctl/main.go
@@ -0,0 +1,97 @@
+// Command masticsparctl is the command line of the operators: it checks documents before they are published and asks an
+// entry VM for its status, a flow or a graceful shutdown.
+//
+// Exit codes: 0 means success, 1 that a document is invalid or would be refused, or that the entry VM refused the
+// request, 2 wrong usage, and 3 that the entry VM could not be reached or did not answer as expected.
+package main
+
+import (
+	"io"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+// Exit codes.
+const (
+	exitOK          = 0
+	exitInvalid     = 1
+	exitUsage       = 2
+	exitUnreachable = 3
+)
+
+type command struct {
+	out, errors io.Writer
+	client      client
+	json        bool
+}
+
+type arguments struct {
+	operator, inventory, rules, oldInventory, oldRules string
+	protocol, source, destination                      string
+	json                                               bool
+	timeout                                            time.Duration
+}
+
+const exitCodes = `Exit codes: 0 success, 1 invalid or would be refused, 2 wrong usage, 3 entry VM unreachable.`
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+func run(args []string, out, errors io.Writer) int {
+	a := arguments{timeout: 5 * time.Second}
+	p := flaggy.NewParser("masticsparctl")
+	p.Description = "Checks documents and asks entry VMs."
+	p.AdditionalHelpAppend = "Example: masticsparctl status --operator 127.0.0.1:7080\n" + exitCodes
+	p.ShowCompletion = false
+	check := add(p, "check", "validates documents and says what they would change",
+		"Examples: masticsparctl check --inventory inventory.json --rules rules.json\n"+
+			"          masticsparctl check --inventory inventory.json --rules rules.json --operator 127.0.0.1:7080\n"+
+			"          masticsparctl check --inventory new.json --rules rules.json --old-inventory old.json --old-rules rules.json")
+	check.String(&a.inventory, "i", "inventory", "file of the inventory (required)")
+	check.String(&a.rules, "r", "rules", "file of the rules (required)")
+	check.String(&a.oldInventory, "", "old-inventory", "file of the inventory to compare with")
+	check.String(&a.oldRules, "", "old-rules", "file of the rules to compare with")
+	status := add(p, "status", "shows documents, peers and backend servers of an entry VM",
+		"Example: masticsparctl status --operator 127.0.0.1:7080 --json")
+	flow := add(p, "flow", "shows the owner and the backend server of a flow",
+		"Example: masticsparctl flow --operator 127.0.0.1:7080 --protocol tcp --source 192.0.2.1:40000 --destination 10.1.0.1:443")
+	flow.String(&a.protocol, "p", "protocol", "tcp or udp (required)")
+	flow.String(&a.source, "s", "source", "\"ip:port\" of the caller (required)")
+	flow.String(&a.destination, "d", "destination", "\"ip:port\" of the service (required)")
+	drain := add(p, "drain", "starts the graceful shutdown of an entry VM",
+		"Example: masticsparctl drain --operator 127.0.0.1:7080")
+	for _, s := range []*flaggy.Subcommand{check, status, flow, drain} {
+		s.String(&a.operator, "o", "operator", "operator address of an entry VM as \"ip:port\"")
+		s.Bool(&a.json, "j", "json", "write JSON")
+		s.Duration(&a.timeout, "t", "timeout", "longest time for the exchange with the entry VM")
+	}
+	// The parser ends the process by itself with code 0 after help and with code 2 after wrong flags.
+	if err := p.ParseArgs(args); err != nil {
+		p.ShowHelpWithMessage(err.Error())
+		return exitUsage
+	}
+	c := &command{out: out, errors: errors, client: client{address: a.operator, timeout: a.timeout}, json: a.json}
+	switch {
+	case check.Used:
+		return c.check(a)
+	case status.Used:
+		return c.status()
+	case flow.Used:
+		return c.flow(a)
+	case drain.Used:
+		return c.drain()
+	}
+	p.ShowHelpWithMessage("a command is missing")
+	return exitUsage
+}
+
+func add(p *flaggy.Parser, name, description, example string) *flaggy.Subcommand {
+	s := flaggy.NewSubcommand(name)
+	s.Description = description
+	s.AdditionalHelpAppend = example + "\n" + exitCodes
+	p.AttachSubcommand(s, 1)
+	return s
+}
