Decode documents before the lock of the engine is taken

Change: fleet.Prepare decodes and validates on any goroutine, Picture.Accept puts the candidate in force; Offer does both. spread takes candidates. The decoder and the checks write paths and ranges only for an error.

--- a/internal/document/decode.go
+++ b/internal/document/decode.go
@@ -28,73 +28,86 @@
 	if err := json.Unmarshal(b, &raw); err != nil {
 		return &Error{Document: name, Allowed: "one JSON value", Got: shorten(err.Error())}
 	}
-	d := decoder{name: name, tokens: json.NewDecoder(bytes.NewReader(b))}
+	d := decoder{name: name, tokens: json.NewDecoder(bytes.NewReader(b)), fields: map[reflect.Type][]string{}}
 	d.tokens.UseNumber()
-	return d.value("", reflect.ValueOf(v).Elem())
+	return d.value(reflect.ValueOf(v).Elem())
 }
 
 type decoder struct {
 	name   string
 	tokens *json.Decoder
+	path   []step
+	fields map[reflect.Type][]string
 }
 
-func (d *decoder) value(path string, v reflect.Value) error {
+// A step of a path is a field or, when the name is empty, a list index. The path is written only for an error: writing
+// it for each value took a large part of the time of a document of 1 MB.
+type step struct {
+	name  string
+	index int
+}
+
+func (d *decoder) value(v reflect.Value) error {
 	t, err := d.tokens.Token()
 	if err != nil {
-		return d.fail(path, "JSON", err.Error())
+		return d.fail("JSON", err.Error())
 	}
 	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
-		return d.text(path, t, u)
+		return d.text(t, u)
 	}
 	switch v.Kind() {
 	case reflect.Struct:
-		return d.object(path, t, v)
+		return d.object(t, v)
 	case reflect.Slice:
-		return d.list(path, t, v)
+		return d.list(t, v)
 	case reflect.String:
 		if s, ok := t.(string); ok {
 			v.SetString(s)
 			return nil
 		}
-		return d.fail(path, "a string", describe(t))
+		return d.fail("a string", describe(t))
 	case reflect.Bool:
 		if b, ok := t.(bool); ok {
 			v.SetBool(b)
 			return nil
 		}
-		return d.fail(path, "true or false", describe(t))
+		return d.fail("true or false", describe(t))
 	}
-	return d.number(path, t, v)
+	return d.number(t, v)
 }
 
-func (d *decoder) number(path string, t json.Token, v reflect.Value) error {
+func (d *decoder) number(t json.Token, v reflect.Value) error {
 	n, ok := t.(json.Number)
 	switch v.Kind() {
 	case reflect.Int:
 		i, err := strconv.ParseInt(n.String(), 10, 64)
 		if !ok || err != nil {
-			return d.fail(path, "an integer", describe(t))
+			return d.fail("an integer", describe(t))
 		}
 		v.SetInt(i)
 	case reflect.Uint64:
 		u, err := strconv.ParseUint(n.String(), 10, 64)
 		if !ok || err != nil {
-			return d.fail(path, "a non-negative integer", describe(t))
+			return d.fail("a non-negative integer", describe(t))
 		}
 		v.SetUint(u)
 	case reflect.Float64:
 		f, err := strconv.ParseFloat(n.String(), 64)
 		if !ok || err != nil || math.IsInf(f, 0) {
-			return d.fail(path, "a number", describe(t))
+			return d.fail("a number", describe(t))
 		}
 		v.SetFloat(f)
 	default:
-		return d.fail(path, "of a supported type", v.Type().String())
+		return d.fail("of a supported type", v.Type().String())
 	}
 	return nil
 }
 
-func (d *decoder) text(path string, t json.Token, u encoding.TextUnmarshaler) error {
+func (d *decoder) text(t json.Token, u encoding.TextUnmarshaler) error {
+	// The address types accept an empty text as their zero value.
+	if s, ok := t.(string); ok && s != "" && u.UnmarshalText([]byte(s)) == nil {
+		return nil
+	}
 	allowed := "text"
 	switch u.(type) {
 	case *time.Time:
@@ -104,64 +117,73 @@
 	case *Duration:
 		allowed = `a duration such as "250ms", "30s" or "1h"`
 	}
-	s, ok := t.(string)
-	// The address types accept an empty text as their zero value.
-	if !ok || s == "" || u.UnmarshalText([]byte(s)) != nil {
-		return d.fail(path, allowed, describe(t))
-	}
-	return nil
+	return d.fail(allowed, describe(t))
 }
 
-func (d *decoder) list(path string, t json.Token, v reflect.Value) error {
+func (d *decoder) list(t json.Token, v reflect.Value) error {
 	if t != json.Delim('[') {
-		return d.fail(path, "a list", describe(t))
+		return d.fail("a list", describe(t))
 	}
 	v.SetLen(0)
 	for i := 0; d.tokens.More(); i++ {
 		e := reflect.New(v.Type().Elem()).Elem()
-		if err := d.value(fmt.Sprintf("%s[%d]", path, i), e); err != nil {
+		d.path = append(d.path, step{index: i})
+		if err := d.value(e); err != nil {
 			return err
 		}
+		d.path = d.path[:len(d.path)-1]
 		v.Set(reflect.Append(v, e))
 	}
 	_, err := d.tokens.Token()
 	return err
 }
 
-func (d *decoder) object(path string, t json.Token, v reflect.Value) error {
+func (d *decoder) object(t json.Token, v reflect.Value) error {
 	if t != json.Delim('{') {
-		return d.fail(path, "an object", describe(t))
+		return d.fail("an object", describe(t))
 	}
 	if s, ok := v.Addr().Interface().(interface{ SetDefaults() }); ok {
 		s.SetDefaults()
 	}
-	names := fieldNames(v.Type())
+	names := d.names(v.Type())
 	seen := make([]bool, len(names))
 	for d.tokens.More() {
 		k, err := d.tokens.Token()
 		if err != nil {
-			return d.fail(path, "JSON", err.Error())
+			return d.fail("JSON", err.Error())
 		}
 		name, _ := k.(string)
-		field := strings.TrimPrefix(path+"."+shorten(name), ".")
+		d.path = append(d.path, step{name: name})
 		i := slices.Index(names, name)
 		if i < 0 {
-			return d.fail(field, "one of the fields "+strings.Join(names, ", "), "an unknown field")
+			return d.fail("one of the fields "+strings.Join(names, ", "), "an unknown field")
 		}
 		if seen[i] {
-			return d.fail(field, "given once", "the field again")
+			return d.fail("given once", "the field again")
 		}
 		seen[i] = true
-		if err := d.value(field, v.Field(i)); err != nil {
+		if err := d.value(v.Field(i)); err != nil {
 			return err
 		}
+		d.path = d.path[:len(d.path)-1]
 	}
 	_, err := d.tokens.Token()
 	return err
 }
 
-func (d *decoder) fail(path, allowed, got string) error {
-	return &Error{Document: d.name, Field: path, Allowed: allowed, Got: shorten(got)}
+func (d *decoder) fail(allowed, got string) error {
+	var path strings.Builder
+	for _, s := range d.path {
+		switch {
+		case s.name == "":
+			fmt.Fprintf(&path, "[%d]", s.index)
+		case path.Len() > 0:
+			path.WriteString("." + shorten(s.name))
+		default:
+			path.WriteString(shorten(s.name))
+		}
+	}
+	return &Error{Document: d.name, Field: path.String(), Allowed: allowed, Got: shorten(got)}
 }
 
 // Describes a token as an error repeats it.
@@ -180,10 +202,15 @@
 	return fmt.Sprint(t)
 }
 
-func fieldNames(t reflect.Type) []string {
+// Returns the JSON names of the fields of a struct type.
+func (d *decoder) names(t reflect.Type) []string {
+	if names, ok := d.fields[t]; ok {
+		return names
+	}
 	names := make([]string, t.NumField())
 	for i := range names {
 		names[i], _, _ = strings.Cut(t.Field(i).Tag.Get("json"), ",")
 	}
+	d.fields[t] = names
 	return names
 }
--- a/internal/document/error.go
+++ b/internal/document/error.go
@@ -63,12 +63,17 @@
 	for _, r := range s {
 		ok = ok && (r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("._-", r))
 	}
-	c.That(ok, field, "a name of 1 to 63 letters, digits, '.', '_' or '-'", quote(s))
+	if ok {
+		return
+	}
+	c.That(false, field, "a name of 1 to 63 letters, digits, '.', '_' or '-'", quote(s))
 }
 
 // Unique records a fault if seen already has the value and adds it otherwise.
 func Unique[T comparable](c *Checker, seen map[T]bool, field, what string, value T) {
-	c.That(!seen[value], field, what, fmt.Sprintf("%v again", value))
+	if seen[value] {
+		c.That(false, field, what, fmt.Sprintf("%v again", value))
+	}
 	seen[value] = true
 }
 
@@ -77,22 +82,28 @@
 	ip := a.Addr()
 	// A scope names an interface of one machine, and an IPv4-mapped address would be a second spelling of the same one.
 	ok := ip.IsValid() && a.Port() > 0 && !ip.IsUnspecified() && !ip.IsMulticast() && ip.Zone() == "" && !ip.Is4In6()
+	if ok {
+		return
+	}
 	got := a.String()
 	if !ip.IsValid() {
 		got = "nothing"
 	}
-	c.That(ok, field, `a unicast "ip:port" with a port from 1 to 65535`, got)
+	c.That(false, field, `a unicast "ip:port" with a port from 1 to 65535`, got)
 }
 
 // Duration records a fault unless d is from low to high.
 func (c *Checker) Duration(field string, d Duration, low, high time.Duration) {
-	c.That(time.Duration(d) >= low && time.Duration(d) <= high, field,
-		fmt.Sprintf("a duration from %v to %v", low, high), time.Duration(d))
+	if t := time.Duration(d); t < low || t > high {
+		c.That(false, field, fmt.Sprintf("a duration from %v to %v", low, high), t)
+	}
 }
 
 // Integer records a fault unless n is from low to high.
 func (c *Checker) Integer(field string, n, low, high int) {
-	c.That(n >= low && n <= high, field, fmt.Sprintf("an integer from %d to %d", low, high), n)
+	if n < low || n > high {
+		c.That(false, field, fmt.Sprintf("an integer from %d to %d", low, high), n)
+	}
 }
 
 func quote(s string) string { return fmt.Sprintf("%q", s) }
--- a/internal/fleet/picture.go
+++ b/internal/fleet/picture.go
@@ -75,32 +75,48 @@
 // Offer puts a document in force if its version is greater than the one in force, and reports whether it did.
 // The same content again is no change. The picture keeps its own copy of b.
 func (p *Picture) Offer(kind Kind, source string, b []byte) (bool, error) {
-	if kind != Inventory && kind != Rules {
-		return false, p.refuse(kind, source, errors.WithType(errors.Errorf("document kind %d is unknown", kind), ErrInvalid))
+	if p.running(kind, b) {
+		return false, nil
 	}
-	running := &p.documents[kind-1]
-	if running.version.Number > 0 && bytes.Equal(b, running.bytes) {
+	return p.Accept(Prepare(kind, source, b))
+}
+
+// Accept is Offer for a document that was decoded before.
+func (p *Picture) Accept(c *Candidate) (bool, error) {
+	if p.running(c.kind, c.bytes) {
 		return false, nil
 	}
-	number, use, err := p.decode(kind, b)
+	if c.err != nil {
+		return false, p.refuse(c.kind, c.source, errors.WithType(c.err, ErrInvalid))
+	}
+	running := &p.documents[c.kind-1]
 	switch {
-	case err != nil:
-		return false, p.refuse(kind, source, errors.WithType(err, ErrInvalid))
-	case number < running.version.Number:
-		err := errors.Errorf("%s: version %d is lower than %d, which is in force", kind, number, running.version.Number)
-		return false, p.refuse(kind, source, errors.WithType(err, ErrStale))
-	case number == running.version.Number:
+	case c.version.Number < running.version.Number:
+		err := errors.Errorf("%s: version %d is lower than %d, which is in force",
+			c.kind, c.version.Number, running.version.Number)
+		return false, p.refuse(c.kind, c.source, errors.WithType(err, ErrStale))
+	case c.version.Number == running.version.Number:
 		err := errors.Errorf("%s: version %d from %s has other content than the one in force from %s",
-			kind, number, source, running.source)
-		return false, p.refuse(kind, source, errors.WithType(err, ErrConflict))
+			c.kind, c.version.Number, c.source, running.source)
+		return false, p.refuse(c.kind, c.source, errors.WithType(err, ErrConflict))
+	}
+	if c.kind == Rules {
+		p.rules = c.rules
+	} else {
+		p.inventory = c.inventory
 	}
-	use()
-	*running = accepted{bytes: bytes.Clone(b), version: Version{Number: number, Hash: HashOf(b)}, source: source, at: p.now()}
+	*running = accepted{bytes: c.bytes, version: c.version, source: c.source, at: p.now()}
 	p.build()
-	p.Counters.Add("document-accepted-"+kind.String(), 1)
+	p.Counters.Add("document-accepted-"+c.kind.String(), 1)
 	return true, nil
 }
 
+// Reports whether b is the content in force.
+func (p *Picture) running(kind Kind, b []byte) bool {
+	running := p.Document(kind)
+	return running != nil && bytes.Equal(b, running)
+}
+
 // Compare refuses a version that a peer has in force when it has the number of the one in force here but other content.
 func (p *Picture) Compare(kind Kind, source string, v Version) error {
 	running := p.Versions().Of(kind)
@@ -111,22 +127,6 @@
 	return p.refuse(kind, source, errors.WithType(err, ErrConflict))
 }
 
-// Returns the version number of the document and the function that puts it in force.
-func (p *Picture) decode(kind Kind, b []byte) (uint64, func(), error) {
-	if kind == Rules {
-		d, err := rules.Decode(b)
-		if err != nil {
-			return 0, nil, err
-		}
-		return d.Version, func() { p.rules = d }, nil
-	}
-	d, err := inventory.Decode(b)
-	if err != nil {
-		return 0, nil, err
-	}
-	return d.Version, func() { p.inventory = d }, nil
-}
-
 func (p *Picture) refuse(kind Kind, source string, err error) error {
 	for _, reason := range []errors.ConstError{ErrStale, ErrConflict, ErrInvalid} {
 		if errors.Is(err, reason) {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -154,9 +154,13 @@
 		at := fmt.Sprintf("hosts[%d].", i)
 		c.Name(at+"name", h.Name)
 		document.Unique(c, names, at+"name", "a unique name", h.Name)
-		c.That(services[h.Service], at+"service", "the name of a service of this document", fmt.Sprintf("%q", h.Service))
-		c.That(zones[h.AvailabilityZone], at+"availability-zone",
-			"one of availability-zones ("+strings.Join(d.AvailabilityZones, ", ")+")", fmt.Sprintf("%q", h.AvailabilityZone))
+		if !services[h.Service] {
+			c.That(false, at+"service", "the name of a service of this document", fmt.Sprintf("%q", h.Service))
+		}
+		if !zones[h.AvailabilityZone] {
+			c.That(false, at+"availability-zone",
+				"one of availability-zones ("+strings.Join(d.AvailabilityZones, ", ")+")", fmt.Sprintf("%q", h.AvailabilityZone))
+		}
 		c.Address(at+"address", h.Address)
 		// The outer source IP address of a return packet names the host, so one address cannot belong to two.
 		document.Unique(c, addresses, at+"address", "a unique IP address", h.Address.Addr())
--- a/internal/spread/message.go
+++ b/internal/spread/message.go
@@ -37,4 +37,14 @@
 	Kind fleet.Kind `cbor:"1,keyasint"`
 	// Bytes are the published bytes, empty when the sender has nothing greater than what was asked for.
 	Bytes []byte `cbor:"2,keyasint,omitempty"`
+
+	candidate *fleet.Candidate
+}
+
+// Prepare decodes a received document, if the message carries one, so that Handle need not do it. The code that
+// receives messages calls it before it takes the lock of the engine.
+func (m *Message) Prepare(from string) {
+	if d := m.Document; d != nil && len(d.Bytes) > 0 {
+		d.candidate = fleet.Prepare(d.Kind, from, d.Bytes)
+	}
 }
--- a/internal/spread/network_test.go
+++ b/internal/spread/network_test.go
@@ -85,7 +85,7 @@
 	w.every(time.Second, n, func() {
 		if w.platform != nil && !w.cut[n.zone] {
 			if b := w.platform(n); b != nil {
-				_, _ = n.spread.Platform(w.now, fleet.Rules, b)
+				_, _ = n.spread.Platform(w.now, fleet.Prepare(fleet.Rules, "platform", b))
 			}
 		}
 	})
@@ -157,6 +157,7 @@
 		if err := cbor.Unmarshal(b, &received); err != nil {
 			w.t.Fatal(err)
 		}
+		received.Prepare(from.name)
 		target.spread.Handle(w.now, from.name, received)
 		w.check(target)
 		then(target)
@@ -208,7 +209,7 @@
 
 func (w *network) publish(version int, text string, nodes ...*node) {
 	for _, n := range nodes {
-		_, _ = n.spread.Platform(w.now, fleet.Rules, rulesOf(version, text))
+		_, _ = n.spread.Platform(w.now, fleet.Prepare(fleet.Rules, "platform", rulesOf(version, text)))
 		w.check(n)
 	}
 }
--- a/internal/spread/spreader.go
+++ b/internal/spread/spreader.go
@@ -56,7 +56,7 @@
 	requests map[fleet.Kind]request
 	asked    map[fleet.Kind]map[string]time.Duration
 	refused  map[offer]bool
-	held     map[fleet.Kind][][]byte
+	held     map[fleet.Kind][]*fleet.Candidate
 }
 
 type request struct {
@@ -88,7 +88,7 @@
 	for _, kind := range fleet.Kinds {
 		s.asked[kind] = map[string]time.Duration{}
 	}
-	s.held = map[fleet.Kind][][]byte{}
+	s.held = map[fleet.Kind][]*fleet.Candidate{}
 	s.query(now)
 }
 
@@ -113,14 +113,14 @@
 }
 
 // Platform takes a document that the platform served and reports whether it was put in force.
-func (s *Spreader) Platform(now time.Duration, kind fleet.Kind, b []byte) (bool, error) {
+func (s *Spreader) Platform(now time.Duration, c *fleet.Candidate) (bool, error) {
 	if s.ready {
-		return s.offer(now, kind, "platform", b)
+		return s.accept(now, c)
 	}
 	// The platform serves a few documents at most before the bound passes; the last two cover an update meanwhile.
-	s.held[kind] = append(s.held[kind], slices.Clone(b))
-	if n := len(s.held[kind]); n > 2 {
-		s.held[kind] = slices.Delete(s.held[kind], 0, n-2)
+	s.held[c.Kind()] = append(s.held[c.Kind()], c)
+	if n := len(s.held[c.Kind()]); n > 2 {
+		s.held[c.Kind()] = s.held[c.Kind()][n-2:]
 	}
 	return false, nil
 }
@@ -188,9 +188,12 @@
 		delete(s.requests, d.Kind)
 	}
 	claim := s.claims[from].Of(d.Kind)
-	if len(d.Bytes) > 0 {
-		if _, err := s.offer(now, d.Kind, from, d.Bytes); err != nil && len(s.refused) < maxRefused {
-			s.refused[offer{d.Kind, fleet.Version{Number: claim.Number, Hash: fleet.HashOf(d.Bytes)}}] = true
+	if d.candidate == nil && len(d.Bytes) > 0 {
+		d.candidate = fleet.Prepare(d.Kind, from, d.Bytes)
+	}
+	if d.candidate != nil {
+		if _, err := s.accept(now, d.candidate); err != nil && len(s.refused) < maxRefused {
+			s.refused[offer{d.Kind, fleet.Version{Number: claim.Number, Hash: d.candidate.Hash()}}] = true
 		}
 	}
 	if claim.Number > s.Picture.Versions().Of(d.Kind).Number {
@@ -199,11 +202,12 @@
 	s.proceed(now)
 }
 
-func (s *Spreader) offer(now time.Duration, kind fleet.Kind, source string, b []byte) (bool, error) {
-	changed, err := s.Picture.Offer(kind, source, b)
+func (s *Spreader) accept(now time.Duration, c *fleet.Candidate) (bool, error) {
+	changed, err := s.Picture.Accept(c)
 	if !changed {
 		return false, err
 	}
+	kind := c.Kind()
 	clear(s.asked[kind])
 	clear(s.refused)
 	if s.Changed != nil {
@@ -248,9 +252,8 @@
 	held := s.held
 	s.held = nil
 	for _, kind := range fleet.Kinds {
-		for _, b := range held[kind] {
-			// The picture counts and keeps a refusal.
-			_, _ = s.offer(now, kind, "platform", b)
+		for _, c := range held[kind] {
+			_, _ = s.accept(now, c) // The picture counts and keeps a refusal.
 		}
 	}
 }
--- a/internal/spread/spreader_test.go
+++ b/internal/spread/spreader_test.go
@@ -169,7 +169,7 @@
 	s, sent := single()
 	is.Equal(len(*sent), 2)
 	round := (*sent)[0].Query.Round
-	changed, err := s.Platform(0, fleet.Rules, rulesOf(3, "h1"))
+	changed, err := s.Platform(0, fleet.Prepare(fleet.Rules, "platform", rulesOf(3, "h1")))
 	is.True(!changed && err == nil)
 	s.Handle(0, "p", Message{Digest: &Digest{Ready: true}})
 	s.Handle(0, "p", Message{Digest: &Digest{Round: round - 1, Ready: true}})
