Add the engine that connects the decision packages

Cause: the packages decide on their own about members, documents, pins and hosts. Change: entry.Engine finds the service and the owner of a packet, forwards or decides, hands pins over when ownership moves, exchanges reports and hints, and drops packets while its view is stale. Result: builds; no tests yet.

--- /dev/null
+++ b/internal/entry/hints.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/member"
+	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/rendezvous"
+)
+
+const (
+	hintsPerMessage = 22   // keeps a message below the size of one datagram
+	hintQueueLimit  = 4096 // pins waiting for one member; what is lost costs a search
+)
+
+// hintMessage reports pins that the receiver would not guess first.
+type hintMessage struct {
+	Pins []hint `cbor:"1,keyasint"`
+}
+
+// hint names the host of a flow. The host is named by a hash of its name, because IDs differ between processes.
+type hint struct {
+	Key  []byte `cbor:"1,keyasint"`
+	Host uint32 `cbor:"2,keyasint"`
+}
+
+const packedKeySize = 37
+
+func packKey(k *packet.Key) []byte {
+	b := make([]byte, 0, packedKeySize)
+	b = append(append(b, k.Source[:]...), k.Destination[:]...)
+	b = binary.BigEndian.AppendUint16(b, k.SourcePort)
+	b = binary.BigEndian.AppendUint16(b, k.DestinationPort)
+	return append(b, k.Protocol)
+}
+
+func unpackKey(b []byte) (packet.Key, bool) {
+	if len(b) != packedKeySize {
+		return packet.Key{}, false
+	}
+	return packet.Key{
+		Source: [16]byte(b), Destination: [16]byte(b[16:]),
+		SourcePort: binary.BigEndian.Uint16(b[32:]), DestinationPort: binary.BigEndian.Uint16(b[34:]),
+		Protocol: b[36],
+	}, true
+}
+
+func hostHash(name string) uint32 { return uint32(rendezvous.Hash(name) >> 32) }
+
+// hintQueue holds hints until the next tick, so that several share a message.
+type hintQueue struct {
+	byMember map[string][]hint
+}
+
+func (q *hintQueue) add(to string, h hint) bool {
+	if len(q.byMember[to]) >= hintQueueLimit {
+		return false
+	}
+	if q.byMember == nil {
+		q.byMember = map[string][]hint{}
+	}
+	q.byMember[to] = append(q.byMember[to], h)
+	return true
+}
+
+func (q *hintQueue) empty() bool { return len(q.byMember) == 0 }
+
+// queueHint reports a pin of this entry VM to the backup of the flow.
+func (e *Engine) queueHint(_ time.Duration, s *fleet.Service, k *packet.Key, h *fleet.Host) {
+	first, backup, own := e.groups.owner(s.ID, k)
+	to := backup
+	if !own {
+		to = first
+	}
+	e.hintTo(to, k, h.Name)
+}
+
+func (e *Engine) hintTo(to *member.Member, k *packet.Key, host string) {
+	if to == nil || to.Name == e.Self.Name {
+		return
+	}
+	if !e.hints.add(to.Name, hint{Key: packKey(k), Host: hostHash(host)}) {
+		e.Counters.Add("dropped-hint-queue-full", 1)
+	}
+}
+
+// flushHints sends up to perMember messages to each member.
+func (e *Engine) flushHints(perMember int) {
+	for name, list := range e.hints.byMember {
+		to, ok := e.members.Get(name)
+		if !ok || !to.Live() {
+			delete(e.hints.byMember, name)
+			continue
+		}
+		for range perMember {
+			n := min(len(list), hintsPerMessage)
+			if n == 0 {
+				break
+			}
+			e.sendHints(to, list[:n])
+			list = list[n:]
+		}
+		e.hints.byMember[name] = list
+		if len(list) == 0 {
+			delete(e.hints.byMember, name)
+		}
+	}
+}
+
+func (e *Engine) sendHints(to member.Member, list []hint) {
+	b, err := cbor.Marshal(hintMessage{Pins: list})
+	if err != nil {
+		e.Logger.Error("message-not-encoded", zap.Error(err))
+		return
+	}
+	e.Send(to, Hint, b)
+	e.Counters.Add("hints-sent", int64(len(list)))
+}
+
+func (e *Engine) learnHints(now time.Duration, m hintMessage) {
+	for _, p := range m.Pins {
+		k, ok := unpackKey(p.Key)
+		if !ok {
+			e.Counters.Add("messages-refused", 1)
+			continue
+		}
+		s := e.picture.Lookup(&k)
+		if s == nil {
+			continue
+		}
+		for _, h := range s.Hosts {
+			if hostHash(h.Name) == p.Host {
+				e.flows.Learn(now, s, &k, h.ID)
+				e.Counters.Add("hints-learned", 1)
+				break
+			}
+		}
+	}
+}
+
+// handOver walks over the pins after ownership moved, a part in each tick.
+type handOver struct {
+	active   bool
+	again    bool
+	position int
+}
+
+func (h *handOver) restart() {
+	h.again = h.active
+	h.active = true
+}
+
+// releasePins takes one step of the walk.
+func (e *Engine) releasePins(now time.Duration) {
+	w := &e.handOver
+	if !w.active {
+		return
+	}
+	owns := func(service uint32, k *packet.Key) bool {
+		_, _, own := e.groups.owner(service, k)
+		return own
+	}
+	hand := func(k *packet.Key, service, host uint32) {
+		first, _, _ := e.groups.owner(service, k)
+		if h := e.hostByID(service, host); h != nil {
+			e.hintTo(first, k, h.Name)
+		}
+	}
+	w.position = e.flows.Release(now, w.position, owns, hand)
+	if w.position == 0 {
+		w.active, w.again = w.again, false
+	}
+}
+
+func (e *Engine) hostByID(service, host uint32) *fleet.Host {
+	for _, s := range e.picture.Services() {
+		if s.ID != service {
+			continue
+		}
+		for _, h := range s.Hosts {
+			if h.ID == host {
+				return h
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/messages.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/masticspar/masticspar/internal/capacity"
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/member"
+	"github.com/masticspar/masticspar/internal/spread"
+)
+
+// decoder refuses unknown fields and bounds what a message may contain.
+var decoder = func() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		MaxArrayElements: 4096, MaxMapPairs: 64, MaxNestedLevels: 8, DupMapKey: cbor.DupMapKeyEnforcedAPF,
+	}.DecMode()
+	if err != nil {
+		panic(err) // The options are constants.
+	}
+	return m
+}()
+
+// Message is a decoded message of another entry VM.
+type Message struct {
+	// From is the name that the sender proved to have.
+	From string
+	// Kind says which of the bodies is set.
+	Kind Kind
+
+	membership    member.Message
+	configuration spread.Message
+	report        capacity.Report
+	hints         hintMessage
+}
+
+// Decode reads the body of a message; it may be called from any goroutine and is called before the lock of the engine
+// is taken, because decoding a large document takes long.
+func Decode(from string, kind Kind, body []byte) (*Message, error) {
+	m := &Message{From: from, Kind: kind}
+	var err error
+	switch kind {
+	case Membership:
+		m.membership, err = member.Decode(body)
+	case Configuration:
+		err = decoder.Unmarshal(body, &m.configuration)
+		m.configuration.Prepare(from)
+	case Report:
+		m.report, err = capacity.Decode(body)
+	case Hint:
+		err = decoder.Unmarshal(body, &m.hints)
+	default:
+		err = errors.NotValidf("message kind %d", kind)
+	}
+	if err != nil {
+		return nil, errors.Annotatef(err, "message of kind %d from %s", kind, from)
+	}
+	return m, nil
+}
+
+// Message handles a message.
+func (e *Engine) Message(now time.Duration, m *Message) {
+	e.now = now
+	switch m.Kind {
+	case Membership:
+		e.members.Handle(now, m.From, m.membership)
+	case Configuration:
+		e.spreader.Handle(now, m.From, m.configuration)
+	case Report:
+		e.model.Merge(now, m.From, m.report)
+	case Hint:
+		e.learnHints(now, m.hints)
+	}
+	e.refreshed(now)
+}
+
+func (e *Engine) sendMembership(to member.Member, m member.Message) {
+	b, err := member.Encode(m)
+	if err != nil {
+		e.Logger.Error("message-not-encoded", zap.Error(err))
+		return
+	}
+	e.Send(to, Membership, b)
+}
+
+// sendConfiguration sends to a member by name or to a contact by address.
+func (e *Engine) sendConfiguration(to string, m spread.Message) {
+	b, err := cbor.Marshal(m)
+	if err != nil {
+		e.Logger.Error("message-not-encoded", zap.Error(err))
+		return
+	}
+	if known, ok := e.members.Get(to); ok {
+		e.Send(known, Configuration, b)
+		return
+	}
+	if address, err := netip.ParseAddrPort(to); err == nil {
+		e.Send(member.Member{Control: address}, Configuration, b)
+		return
+	}
+	e.Send(member.Member{Name: to}, Configuration, b)
+}
+
+func (e *Engine) peerNames() []string {
+	var names []string
+	for _, m := range e.members.Alive() {
+		if m.Name != e.Self.Name {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// digests returns the versions in force for pings.
+func (e *Engine) digests() []member.Digest {
+	v := e.picture.Versions()
+	list := make([]member.Digest, 0, len(fleet.Kinds))
+	for _, kind := range fleet.Kinds {
+		of := v.Of(kind)
+		list = append(list, member.Digest{
+			Kind: kind.String(), Version: of.Number, Hash: binary.BigEndian.AppendUint64(nil, of.Hash),
+		})
+	}
+	return list
+}
+
+// observeDigests tells the spreader which versions another entry VM has.
+func (e *Engine) observeDigests(from member.Member, digests []member.Digest) {
+	var d spread.Digest
+	for _, g := range digests {
+		if len(g.Hash) != 8 {
+			continue
+		}
+		v := fleet.Version{Number: g.Version, Hash: binary.BigEndian.Uint64(g.Hash)}
+		switch g.Kind {
+		case fleet.Inventory.String():
+			d.Versions.Inventory = v
+		case fleet.Rules.String():
+			d.Versions.Rules = v
+		}
+	}
+	e.spreader.Handle(e.now, from.Name, spread.Message{Digest: &d})
+}
--- /dev/null
+++ b/internal/entry/tick.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/masticspar/masticspar/internal/member"
+)
+
+// TickPeriod is the period in which Tick has to be called.
+const TickPeriod = 50 * time.Millisecond
+
+const (
+	reportPeriod         = time.Second
+	hintPeriod           = 500 * time.Millisecond
+	hintMessagesPerFlush = 2  // to one member in ordinary operation
+	drainMessagesPerTick = 20 // to one member while this entry VM hands over its pins
+)
+
+// schedule holds the times of the next periodic steps.
+type schedule struct {
+	report, hint time.Duration
+}
+
+// Tick does what is due.
+func (e *Engine) Tick(now time.Duration) {
+	e.now = now
+	e.members.Tick(now)
+	e.spreader.Tick(now)
+	e.configure(now)
+	e.refreshed(now)
+	e.releasePins(now)
+	e.flows.Sweep(now)
+	if now >= e.due.report {
+		e.due.report = now + reportPeriod
+		e.sendReports(now)
+		e.model.Tick(now)
+	}
+	if e.leaving {
+		e.flushHints(drainMessagesPerTick)
+	} else if now >= e.due.hint {
+		e.due.hint = now + hintPeriod
+		e.flushHints(hintMessagesPerFlush)
+	}
+}
+
+// refreshed ends the stale state once membership and configuration were refreshed.
+func (e *Engine) refreshed(now time.Duration) {
+	if !e.stale || !e.members.Settled(now) || !e.spreader.Ready() {
+		return
+	}
+	e.stale = false
+	e.configure(now)
+	v := e.picture.Versions()
+	e.Logger.Info("view-refreshed", zap.Int("members", len(e.members.Alive())),
+		zap.Uint64("inventory-version", v.Inventory.Number), zap.Uint64("rules-version", v.Rules.Number))
+}
+
+// sendReports sends each partner the sums of the hosts that both own flows of.
+func (e *Engine) sendReports(now time.Duration) {
+	if e.stale || e.leaving {
+		return
+	}
+	r := e.model.Report(now)
+	for _, m := range e.groups.partners {
+		part := e.model.Part(r, m.Name)
+		b, err := part.Encode()
+		if err != nil {
+			e.Logger.Error("message-not-encoded", zap.Error(err))
+			return
+		}
+		e.Send(m, Report, b)
+	}
+}
+
+// Drain gives up the owner role: it announces that this entry VM leaves and hands its pins over. The engine goes on to
+// forward packets.
+func (e *Engine) Drain(now time.Duration) {
+	if e.leaving {
+		return
+	}
+	e.now = now
+	e.leaving = true
+	e.Logger.Info("drain-started", zap.Int("pins", e.flows.Len()))
+	e.members.Leave(now)
+	e.configure(now)
+}
+
+// Drained reports whether all pins were handed over.
+func (e *Engine) Drained() bool {
+	return e.leaving && !e.handOver.active && e.hints.empty()
+}
+
+// Members returns the other entry VMs that this one knows, and itself.
+func (e *Engine) Members() []member.Member { return e.members.Members() }
--- a/internal/standin/backend/control_test.go
+++ b/internal/standin/backend/control_test.go
@@ -69,7 +69,7 @@
 	is.Equal(len(*sent), 0)
 	b, err := syn.Bytes()
 	is.NoErr(err)
-	h.Datagram(0, netip.MustParseAddrPort("127.2.0.2:6081"), geneve.Append(nil, b, geneve.ToService, 0))
+	h.Datagram(0, netip.MustParseAddrPort("127.2.0.2:6081"), geneve.Append(nil, b, geneve.ToService, 0, netip.Addr{}))
 	is.Equal(len(*sent), 1)
 	h.Blocked = nil
 	h.SetMode(0, Mode{Kind: Dead})
--- a/internal/standin/fabric/fabric_test.go
+++ b/internal/standin/fabric/fabric_test.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return geneve.Append(nil, b, direction, 0)
+	return geneve.Append(nil, b, direction, 0, netip.Addr{})
 }
 
 // Guards against return packets that lose the address of their host, and against a spray that reaches only some entry
