--- a/internal/standin/backend/host_test.go
+++ b/internal/standin/backend/host_test.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h.Datagram(now, source, geneve.Append(nil, b, geneve.ToService, 0))
+	h.Datagram(now, source, geneve.Append(nil, b, geneve.ToService, 0, netip.Addr{}))
 }
 
 func key(protocol uint8, n int) packet.Key {
