Add the operator server and the status of the engine

Cause: operators and collectors need to see state, flows, refusals and readiness. Change: HTTP routes for status, flow, drain, metrics, live and ready.

--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -32,6 +32,9 @@
 	Hint
 )
 
+// SizeUnit is the size of a member that stands for a VM of size 1.
+const SizeUnit = 100
+
 // Engine is one entry VM; its exported fields are set before Start.
 type Engine struct {
 	// Self is this process as other entry VMs see it.
@@ -70,6 +73,7 @@
 	handOver handOver
 	due      schedule
 	peerData map[netip.Addr]bool
+	figures  map[uint32]*hostFigures
 
 	now     time.Duration
 	stale   bool
@@ -88,6 +92,7 @@
 		e.Logger = zap.NewNop()
 	}
 	e.view.MTU = e.MTU
+	e.figures = map[uint32]*hostFigures{}
 	e.dropped, e.counted = map[string]metrics.Counter{}, map[string]metrics.Counter{}
 	e.picture.Counters = e.Counters
 	e.picture.Now = func() time.Duration { return e.now }
@@ -116,6 +121,7 @@
 	e.flows.Observe = func(now time.Duration, ev signal.Event) {
 		e.model.Observe(now, ev)
 		e.gate.Observe(ev)
+		e.observeFigures(ev)
 	}
 	e.flows.Hint = e.queueHint
 	e.flows.Emit = e.emit
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/masticspar/masticspar/internal/capacity"
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/operator"
+	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/signal"
+)
+
+// answerWeight is the weight of the newest first answer in the moving average for status.
+const answerWeight = 0.1
+
+// hostFigures are what status shows of a host beyond what the model keeps.
+type hostFigures struct {
+	answerMS float64
+	refusals map[string]int64
+}
+
+func (e *Engine) observeFigures(ev signal.Event) {
+	f := e.figures[ev.Host]
+	if f == nil {
+		f = &hostFigures{refusals: map[string]int64{}}
+		e.figures[ev.Host] = f
+	}
+	switch ev.Kind {
+	case signal.Answered:
+		ms := float64(ev.Elapsed) / float64(time.Millisecond)
+		if f.answerMS == 0 {
+			f.answerMS = ms
+		}
+		f.answerMS += (ms - f.answerMS) * answerWeight
+	case signal.Refused:
+		f.refusals["host-refused"]++
+	case signal.Unanswered:
+		f.refusals["host-unanswered"]++
+	default:
+	}
+}
+
+// Status returns what operators see of this entry VM.
+func (e *Engine) Status(now time.Duration) operator.Status {
+	e.now = now
+	s := operator.Status{
+		Name: e.Self.Name, Ready: e.Ready(), Draining: e.leaving, IgnoredRules: e.picture.Ignored(),
+		Inventory: e.documentStatus(fleet.Inventory), Rules: e.documentStatus(fleet.Rules),
+		Peers: []operator.Peer{}, Services: []operator.Service{},
+	}
+	if r := e.picture.LastRefusal(); r.Error != "" {
+		s.LastRefusal = &operator.Refusal{
+			Document: r.Kind.String(), Source: r.Source, Error: r.Error, AgeSeconds: (now - r.Time).Seconds(),
+		}
+	}
+	for _, m := range e.members.Members() {
+		if m.Name != e.Self.Name {
+			s.Peers = append(s.Peers, operator.Peer{
+				Name: m.Name, Region: m.Region, AvailabilityZone: m.Zone, Size: float64(m.Size) / SizeUnit, State: m.State.String(),
+			})
+		}
+	}
+	for _, v := range e.picture.Services() {
+		s.Services = append(s.Services, e.serviceStatus(v))
+	}
+	return s
+}
+
+func (e *Engine) documentStatus(kind fleet.Kind) operator.Document {
+	v := e.picture.Versions().Of(kind)
+	at, source := e.picture.Accepted(kind)
+	d := operator.Document{Version: v.Number, Source: source}
+	if v.Number > 0 {
+		d.Hash = fmt.Sprintf("%016x", v.Hash)
+		d.AgeSeconds = (e.now - at).Seconds()
+	}
+	return d
+}
+
+func (e *Engine) serviceStatus(v *fleet.Service) operator.Service {
+	s := operator.Service{Name: v.Name, Protocol: protocolName(v.Protocol), Addresses: v.Addresses, Hosts: []operator.Host{}}
+	figures := e.model.Figures(v, nil)
+	total := 0.0
+	for _, f := range figures {
+		total += f.Weight
+	}
+	byHost := map[uint32]capacity.Figure{}
+	for _, f := range figures {
+		byHost[f.Host.ID] = f
+	}
+	for _, h := range v.Hosts {
+		o := operator.Host{
+			Name: h.Name, AvailabilityZone: h.Zone, Address: h.Address, State: hostState(h, byHost[h.ID]),
+			Leaving: h.Leaving, OutsideZone: h.OutsideZone, MaxShare: h.MaxShare, Weight: h.Weight,
+			OpenFlows: byHost[h.ID].Open, Refusals: map[string]int64{},
+		}
+		if total > 0 {
+			o.LearnedWeight = byHost[h.ID].Weight / total * float64(len(figures))
+		}
+		if f := e.figures[h.ID]; f != nil {
+			o.FirstAnswerMS = f.answerMS
+			for reason, n := range f.refusals {
+				o.Refusals[reason] = n
+			}
+		}
+		s.Hosts = append(s.Hosts, o)
+	}
+	return s
+}
+
+func hostState(h *fleet.Host, f capacity.Figure) string {
+	switch {
+	case h.Leaving:
+		return "leaving"
+	case f.Bad:
+		return "bad"
+	case h.OutsideZone:
+		return "outside-zone"
+	}
+	return "serving"
+}
+
+func protocolName(protocol uint8) string {
+	if protocol == packet.UDP {
+		return "udp"
+	}
+	return "tcp"
+}
+
+// Flow returns what this entry VM knows about a flow.
+func (e *Engine) Flow(now time.Duration, protocol string, source, destination netip.AddrPort) (operator.Flow, error) {
+	number := uint8(packet.TCP)
+	switch protocol {
+	case "tcp":
+	case "udp":
+		number = packet.UDP
+	default:
+		return operator.Flow{}, errors.NotValidf("protocol %q; tcp and udp are known", protocol)
+	}
+	k := packet.NewKey(number, source, destination)
+	f := operator.Flow{Protocol: protocol, Source: source, Destination: destination}
+	s := e.picture.Lookup(&k)
+	if s == nil {
+		return f, nil
+	}
+	f.Service = s.Name
+	first, backup, _ := e.groups.owner(s.ID, &k)
+	if first != nil {
+		f.Owner = first.Name
+	}
+	if backup != nil {
+		f.Backup = backup.Name
+	}
+	if pin, ok := e.flows.Get(now, &k); ok {
+		f.State = pin.State
+		if h := e.hostByID(pin.Service, pin.Host); h != nil {
+			f.Host = h.Name
+		}
+	}
+	return f, nil
+}
+
+// OpenFlows returns the number of pins.
+func (e *Engine) OpenFlows() int { return e.flows.Len() }
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,104 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+	"gopkg.in/tomb.v2"
+)
+
+// Deadlines of the HTTP server; an operator's client that stops reading must not hold memory for long.
+const (
+	headerDeadline = 2 * time.Second
+	writeDeadline  = 10 * time.Second
+	stopDeadline   = time.Second
+)
+
+// Server answers operators and collectors over HTTP; its fields are set before Listen.
+type Server struct {
+	// Status returns the status of the entry VM.
+	Status func() Status
+	// Flow returns what is known about a flow.
+	Flow func(protocol string, source, destination netip.AddrPort) (Flow, error)
+	// Drain starts the graceful shutdown.
+	Drain func() Drain
+	// Metrics writes all counters in the text exposition format.
+	Metrics func(w io.Writer) error
+	// Ready reports whether the entry VM takes new flows.
+	Ready func() bool
+}
+
+// Listen serves on address until the returned function is called.
+func (s *Server) Listen(address netip.AddrPort) (func(), error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, errors.Annotatef(err, "operator-address %s", address)
+	}
+	h := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerDeadline, WriteTimeout: writeDeadline}
+	var tb tomb.Tomb
+	tb.Go(func() error {
+		if err := h.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), stopDeadline)
+		defer cancel()
+		if err := h.Shutdown(ctx); err != nil {
+			_ = h.Close()
+		}
+		_ = tb.Wait()
+	}, nil
+}
+
+// Handler returns the routes of the server.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Status()) })
+	mux.HandleFunc("GET /flow", s.flow)
+	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Drain()) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		_ = s.Metrics(w)
+	})
+	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "live\n") })
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !s.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ready\n")
+	})
+	return mux
+}
+
+func (s *Server) flow(w http.ResponseWriter, r *http.Request) {
+	source, err := netip.ParseAddrPort(r.FormValue("source"))
+	if err != nil {
+		http.Error(w, "source must be an address and port", http.StatusBadRequest)
+		return
+	}
+	destination, err := netip.ParseAddrPort(r.FormValue("destination"))
+	if err != nil {
+		http.Error(w, "destination must be an address and port", http.StatusBadRequest)
+		return
+	}
+	f, err := s.Flow(r.FormValue("protocol"), source, destination)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	reply(w, f)
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
