Add the daemon and the demo that runs the whole path

Cause: the path from a caller to a backend server had not run as separate processes. Change: masticspard drives the engine with sockets, QUIC links, the platform watcher and the operator server. demo starts platform, fabric, hosts, entry VMs and callers, adds and drains a backend server, replaces and kills an entry VM and publishes a wrong document.

--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,6 @@
 
 model:
 	./model/run
+
+demo: build
+	bin/demo --binaries bin
--- /dev/null
+++ b/cmd/demo/main.go
@@ -0,0 +1,48 @@
+// Command demo starts the whole path on loopback addresses, changes and breaks parts of it while flows are open, and
+// prints what became of the flows. It is a stand-in for operators; no part of the system starts processes.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/juju/errors"
+)
+
+func main() {
+	binaries, keep := "bin", false
+	flaggy.SetName("demo")
+	flaggy.SetDescription("Runs the whole path with failures and exits non-zero when a flow broke. Example: demo --binaries bin")
+	flaggy.String(&binaries, "b", "binaries", "directory with the programs")
+	flaggy.Bool(&keep, "k", "keep", "keep the directory with settings, documents and logs")
+	flaggy.Parse()
+	if err := run(binaries, keep); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+}
+
+func run(binaries string, keep bool) error {
+	directory, err := os.MkdirTemp("", "masticspar-demo-")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s := &site{binaries: binaries, directory: directory, started: time.Now()}
+	defer func() {
+		s.stop()
+		if keep {
+			fmt.Println("logs:", directory)
+			return
+		}
+		_ = os.RemoveAll(directory)
+	}()
+	if err := s.start(); err != nil {
+		return err
+	}
+	if err := s.play(); err != nil {
+		return err
+	}
+	return s.judge()
+}
--- /dev/null
+++ b/cmd/demo/play.go
@@ -0,0 +1,232 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/masticspar/masticspar/internal/operator"
+	"github.com/masticspar/masticspar/internal/standin/backend"
+	"github.com/masticspar/masticspar/internal/standin/caller"
+)
+
+// play opens flows and meanwhile adds and drains backend servers, replaces and kills entry VMs, and publishes a wrong
+// document.
+func (s *site) play() error {
+	if err := s.startCallers(); err != nil {
+		return err
+	}
+	for _, step := range []func() error{
+		s.addBackend, s.drainBackend, s.replaceEntry, s.killEntry, s.publishWrong,
+	} {
+		time.Sleep(time.Second)
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	for _, p := range s.callers {
+		if err := p.wait(25 * time.Second); err != nil {
+			return err
+		}
+	}
+	s.note("all flows ended")
+	return nil
+}
+
+func (s *site) startCallers() error {
+	for i, c := range []struct {
+		rate, total int
+		address     string
+	}{{140, 1900, "127.0.0.1:6091"}, {30, 400, "127.0.0.1:6092"}} {
+		p, err := s.launch(fmt.Sprintf("caller-%d", i+1), "standin-caller",
+			"--address", c.address, "--fabric", fabricAddress, "--control", "", "--service", groups[i].address,
+			"--rate", fmt.Sprint(c.rate), "--total", fmt.Sprint(c.total), "--feed-share", "0.1", "--feed-count", "16",
+			"--feed-interval", "500ms", "--bytes", "3000", "--timeout", "12s", "--token", groups[i].service,
+			"--source4", fmt.Sprintf("10.%d.0.1", i+1), "--addresses", "200", "--seed", fmt.Sprint(i+1))
+		if err != nil {
+			return err
+		}
+		s.callers = append(s.callers, p)
+	}
+	s.note("callers open 2300 flows")
+	return nil
+}
+
+func (s *site) addBackend() error {
+	g := groups[0]
+	last := len(g.speeds) - 1
+	s.addHost(g, last)
+	s.inventory.Version++
+	s.note("backend server %s is added", g.host(last))
+	return s.publish("inventory", s.inventory)
+}
+
+func (s *site) drainBackend() error {
+	s.rules.Version++
+	s.rules.Leaving = []string{groups[0].host(1)}
+	s.note("backend server %s is leaving", groups[0].host(1))
+	return s.publish("rules", s.rules)
+}
+
+func (s *site) replaceEntry() error {
+	if err := s.startEntry(4); err != nil {
+		return err
+	}
+	if err := s.waitReady(4); err != nil {
+		return err
+	}
+	if err := s.setEntries(1, 2, 3, 4); err != nil {
+		return err
+	}
+	s.note("entry-4 has joined, entry-2 drains")
+	p := s.entries[2]
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return errors.Trace(err)
+	}
+	time.Sleep(time.Second) // The fabric checks readiness once a second.
+	if err := s.setEntries(1, 3, 4); err != nil {
+		return err
+	}
+	if err := p.wait(35 * time.Second); err != nil {
+		s.failures = append(s.failures, "entry-2 did not end with exit code 0 after its drain: "+err.Error())
+	}
+	s.note("entry-2 has ended")
+	return nil
+}
+
+func (s *site) killEntry() error {
+	s.note("entry-3 is killed")
+	if err := s.entries[3].cmd.Process.Kill(); err != nil {
+		return errors.Trace(err)
+	}
+	time.Sleep(time.Second)
+	return s.setEntries(1, 4)
+}
+
+// publishWrong publishes a document with an unknown availability zone, which must not come into force.
+func (s *site) publishWrong() error {
+	before := s.inventory.Version
+	wrong := s.inventory
+	wrong.Version++
+	wrong.Hosts = append(wrong.Hosts[:0:0], wrong.Hosts...)
+	wrong.Hosts[0].AvailabilityZone = "nowhere"
+	s.note("a wrong inventory is published")
+	if err := s.publish("inventory", wrong); err != nil {
+		return err
+	}
+	var status operator.Status
+	err := until("refusal", 5*time.Second, func() bool {
+		status = operator.Status{}
+		return exchange("GET", "http://"+entryAddress(1, 6084)+"/status", nil, &status) == nil && status.LastRefusal != nil
+	})
+	if err != nil || status.Inventory.Version != before {
+		s.failures = append(s.failures, "the wrong inventory was not refused")
+		return nil
+	}
+	s.note("refused: %s", status.LastRefusal.Error)
+	return nil
+}
+
+// judge prints the table and returns an error when a flow broke or a rule was violated.
+func (s *site) judge() error {
+	opened, whole, refused, broken := 0, 0, 0, 0
+	causes := map[string]int{}
+	for _, p := range s.callers {
+		b, err := os.ReadFile(p.output)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		var r caller.Report
+		if err := json.Unmarshal(b, &r); err != nil {
+			return errors.Annotate(err, p.name)
+		}
+		opened, whole, refused = opened+r.Opened, whole+r.Whole, refused+r.Refused
+		for cause, n := range r.Broken {
+			causes[cause] += n
+			broken += n
+		}
+	}
+	fmt.Printf("\nflows opened %d, answered whole %d, broken %d, refused before payload %d\n", opened, whole, broken, refused)
+	s.printReasons()
+	if err := s.printHosts(); err != nil {
+		return err
+	}
+	if broken > 0 {
+		s.failures = append(s.failures, fmt.Sprintf("%d flows broke: %v", broken, causes))
+	}
+	if opened < 2000 || whole+refused+broken != opened {
+		s.failures = append(s.failures, "flows are missing in the reports")
+	}
+	if len(s.failures) > 0 {
+		return errors.New(strings.Join(s.failures, "; "))
+	}
+	return nil
+}
+
+// printReasons prints the refusals, retries and drops of the entry VMs that still run.
+func (s *site) printReasons() {
+	totals := map[string]int{}
+	for i, p := range s.entries {
+		if !p.running() {
+			continue
+		}
+		response, err := client.Get("http://" + entryAddress(i, 6084) + "/metrics")
+		if err != nil {
+			continue
+		}
+		for {
+			var name string
+			var n int
+			if _, err := fmt.Fscanln(response.Body, &name, &n); err != nil {
+				break
+			}
+			name = strings.TrimPrefix(name, "masticspar_")
+			if strings.HasPrefix(name, "refused_") || strings.HasPrefix(name, "dropped_") || strings.HasPrefix(name, "retry_") {
+				totals[name] += n
+			}
+		}
+		_ = response.Body.Close()
+	}
+	names := make([]string, 0, len(totals))
+	for name := range totals {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		fmt.Printf("  %-32s %d\n", strings.ReplaceAll(name, "_", "-"), totals[name])
+	}
+}
+
+func (s *site) printHosts() error {
+	fmt.Printf("\n%-16s %8s %10s %14s %6s\n", "backend server", "requests", "work-share", "capacity-share", "ratio")
+	for _, g := range groups {
+		var hosts map[string]backend.HostReport
+		if err := exchange("GET", "http://"+g.control+"/hosts", nil, &hosts); err != nil {
+			return err
+		}
+		requests, capacity := 0.0, 0.0
+		for i, speed := range g.speeds {
+			requests += float64(hosts[g.host(i)].Requests)
+			capacity += speed
+		}
+		for i := range g.speeds {
+			h := hosts[g.host(i)]
+			work, share := float64(h.Requests)/requests, g.speeds[i]/capacity
+			fmt.Printf("%-16s %8d %9.1f%% %13.1f%% %6.2f\n", g.host(i), h.Requests, 100*work, 100*share, work/share)
+		}
+		var repeated map[string]int
+		if err := exchange("GET", "http://"+g.control+"/tokens?repeated=1", nil, &repeated); err != nil {
+			return err
+		}
+		if len(repeated) > 0 {
+			s.failures = append(s.failures, fmt.Sprintf("%d requests of %s ran twice", len(repeated), g.service))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/masticspard/daemon.go
@@ -0,0 +1,245 @@
+package main
+
+import (
+	"io"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/masticspar/masticspar/internal/counter"
+	"github.com/masticspar/masticspar/internal/entry"
+	"github.com/masticspar/masticspar/internal/fabric"
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/member"
+	"github.com/masticspar/masticspar/internal/operator"
+	"github.com/masticspar/masticspar/internal/peer"
+	"github.com/masticspar/masticspar/internal/platform"
+	"github.com/masticspar/masticspar/internal/settings"
+	"github.com/masticspar/masticspar/internal/timer"
+)
+
+// drainLinger is the time for which a drained daemon still forwards packets. The fabric learns about the leave
+// from readiness checks and goes on to send packets for a moment.
+const drainLinger = 3 * time.Second
+
+// daemon drives an engine with sockets and the timer service. One lock serialises all calls of the engine.
+type daemon struct {
+	settings *settings.Settings
+	log      *zap.Logger
+	counters *counter.Set
+	timer    *timer.Service
+	draining chan struct{}
+	once     sync.Once
+
+	mu     sync.Mutex
+	engine entry.Engine
+	fabric *fabric.Socket
+	data   *fabric.Socket
+	link   *peer.Link
+}
+
+// newDaemon starts everything and returns the function that stops it in the reverse order.
+func newDaemon(s *settings.Settings, log *zap.Logger) (*daemon, func(), error) {
+	d := &daemon{settings: s, log: log, counters: counter.New(), draining: make(chan struct{})}
+	var cleanups []func()
+	stop := func() {
+		for i := len(cleanups) - 1; i >= 0; i-- {
+			cleanups[i]()
+		}
+	}
+	for _, step := range []func() (func(), error){
+		d.startTimer, d.startLink, d.startSockets, d.startEngine, d.startPlatform, d.startOperator,
+	} {
+		cleanup, err := step()
+		if err != nil {
+			stop()
+			return nil, nil, err
+		}
+		cleanups = append(cleanups, cleanup)
+	}
+	log.Info("started", zap.Stringer("fabric-address", s.FabricAddress), zap.Stringer("control-address", s.ControlAddress),
+		zap.String("availability-zone", s.AvailabilityZone))
+	return d, stop, nil
+}
+
+func (d *daemon) startTimer() (func(), error) {
+	var stop func()
+	d.timer, stop = timer.New(entry.TickPeriod / 2)
+	return stop, nil
+}
+
+func (d *daemon) startSockets() (func(), error) {
+	// The handlers can run before the sockets are stored, and wait for this lock.
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	fabricSocket, stopFabric, err := fabric.New(d.settings.FabricAddress, d.counters, d.handler(false))
+	if err != nil {
+		return nil, errors.Annotate(err, "fabric-address")
+	}
+	data, stopData, err := fabric.New(d.settings.DataAddress, d.counters, d.handler(true))
+	if err != nil {
+		stopFabric()
+		return nil, errors.Annotate(err, "data-address")
+	}
+	d.fabric, d.data = fabricSocket, data
+	return func() {
+		stopData()
+		stopFabric()
+	}, nil
+}
+
+// handler returns the function that takes batches of one socket.
+func (d *daemon) handler(fromPeer bool) func([]fabric.Datagram) {
+	return func(batch []fabric.Datagram) {
+		d.timer.Check()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.engine.Send == nil {
+			return // The engine has not been started yet.
+		}
+		now := d.timer.Now()
+		for i := range batch {
+			d.engine.Datagram(now, batch[i].Source, fromPeer, batch[i].Bytes)
+		}
+		d.flush()
+	}
+}
+
+func (d *daemon) flush() {
+	d.fabric.Flush()
+	d.data.Flush()
+}
+
+func (d *daemon) startEngine() (func(), error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, e := d.settings, &d.engine
+	started := time.Now()
+	e.Self = member.Member{
+		Name: s.Name, Zone: s.AvailabilityZone, Region: s.Region, Size: uint32(s.Size * entry.SizeUnit),
+		Control: s.ControlAddress, Data: s.DataAddress, Incarnation: uint64(started.UnixMilli()),
+	}
+	e.Epoch = started.Add(-d.timer.Now())
+	e.Seed = uint64(started.UnixNano())
+	e.Contacts, e.MTU, e.FlowCapacity = s.Contacts, s.MTU, s.FlowCapacity
+	e.ToFabric = func(b []byte, hash uint64) {
+		d.fabric.Send(s.Fabric[hash%uint64(len(s.Fabric))], b, hash, d.timer.Now())
+	}
+	e.ToHost = func(to netip.AddrPort, b []byte, hash uint64) { d.fabric.Send(to, b, hash, d.timer.Now()) }
+	e.ToPeer = func(to netip.AddrPort, b []byte, hash uint64) { d.data.Send(to, b, hash, d.timer.Now()) }
+	e.Send = d.send
+	e.Counters, e.Logger = d.counters, d.log
+	e.Start(d.timer.Now())
+	cancelPause := d.timer.OnPause(func(now, gap time.Duration) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		e.Pause(now, gap)
+	})
+	cancelTick := d.timer.Subscribe(entry.TickPeriod, func(now time.Duration) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		e.Tick(now)
+		d.flush()
+	})
+	return func() {
+		cancelTick()
+		cancelPause()
+	}, nil
+}
+
+func (d *daemon) startPlatform() (func(), error) {
+	_, stop, err := platform.New(platform.Config{
+		URL:  d.settings.Platform,
+		Seed: uint64(time.Now().UnixNano()),
+		Version: func(kind fleet.Kind) uint64 {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			return d.engine.Version(kind)
+		},
+		Document: func(kind fleet.Kind, b []byte) bool {
+			c := fleet.Prepare(kind, "platform", b)
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			return d.engine.Document(d.timer.Now(), c)
+		},
+		VMs:      d.tryVMs,
+		Counters: d.counters,
+	})
+	return stop, err
+}
+
+func (d *daemon) tryVMs(list []platform.VM) {
+	addresses := make([]netip.AddrPort, 0, len(list))
+	for _, vm := range list {
+		if a, err := netip.ParseAddrPort(vm.ControlAddress); err == nil {
+			addresses = append(addresses, a)
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.engine.Try(addresses)
+}
+
+func (d *daemon) startOperator() (func(), error) {
+	server := &operator.Server{
+		Status: func() operator.Status {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			return d.engine.Status(d.timer.Now())
+		},
+		Flow: func(protocol string, source, destination netip.AddrPort) (operator.Flow, error) {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			return d.engine.Flow(d.timer.Now(), protocol, source, destination)
+		},
+		Drain: d.drain,
+		Metrics: func(w io.Writer) error {
+			d.mu.Lock()
+			d.counters.SetGauge("open-flows", int64(d.engine.OpenFlows()))
+			d.mu.Unlock()
+			return d.counters.WriteText(w)
+		},
+		Ready: func() bool {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			return d.engine.Ready()
+		},
+	}
+	return server.Listen(d.settings.OperatorAddress)
+}
+
+// drain starts the graceful shutdown.
+func (d *daemon) drain() operator.Drain {
+	d.mu.Lock()
+	d.engine.Drain(d.timer.Now())
+	open := d.engine.OpenFlows()
+	d.mu.Unlock()
+	d.once.Do(func() { close(d.draining) })
+	return operator.Drain{
+		Name: d.settings.Name, OpenFlows: open,
+		TimeoutSeconds: time.Duration(d.settings.DrainTimeout).Seconds(),
+	}
+}
+
+// waitDrained returns when the pins were handed over and the fabric had time to notice, or after the drain timeout.
+func (d *daemon) waitDrained() {
+	started := d.timer.Now()
+	done := make(chan bool, 1)
+	cancel := d.timer.Subscribe(entry.TickPeriod, func(now time.Duration) {
+		d.mu.Lock()
+		drained := d.engine.Drained()
+		d.mu.Unlock()
+		timeout := now-started >= time.Duration(d.settings.DrainTimeout)
+		if drained && now-started >= drainLinger || timeout {
+			select {
+			case done <- drained:
+			default:
+			}
+		}
+	})
+	defer cancel()
+	d.log.Info("drained", zap.Bool("complete", <-done))
+}
--- /dev/null
+++ b/cmd/masticspard/main.go
@@ -0,0 +1,78 @@
+// Command masticspard is the daemon of one entry VM.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/masticspar/masticspar/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+const errSettings = errors.ConstError("settings")
+
+func main() {
+	file, check := "", false
+	flaggy.SetName("masticspard")
+	flaggy.SetDescription("Balances flows of callers over backend servers on one entry VM.")
+	flaggy.DefaultParser.AdditionalHelpAppend = `
+Example: masticspard --settings entry-1.json
+
+Exit codes: 0 after a drain that SIGTERM or an operator asked for, 1 when the daemon failed, 2 for wrong settings.`
+	flaggy.String(&file, "s", "settings", "JSON file with the settings")
+	flaggy.Bool(&check, "c", "check", "only check the settings")
+	flaggy.Parse()
+
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	log := zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(encoder), zapcore.Lock(os.Stderr), zapcore.InfoLevel))
+	if err := run(file, check, log); err != nil {
+		log.Error("stopped", zap.Error(err))
+		if errors.Is(err, errSettings) {
+			os.Exit(exitSettings)
+		}
+		os.Exit(exitFailed)
+	}
+}
+
+func run(file string, check bool, log *zap.Logger) error {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return errors.WithType(err, errSettings)
+	}
+	s, err := settings.Decode(file, b)
+	if err != nil {
+		return errors.WithType(err, errSettings)
+	}
+	if check {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	d, stop, err := newDaemon(s, log.With(zap.String("name", s.Name)))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer stop()
+	select {
+	case <-signals:
+		d.drain()
+	case <-d.draining:
+	}
+	d.waitDrained()
+	return nil
+}
