--- a/cmd/demo/site.go
+++ b/cmd/demo/site.go
@@ -29,12 +29,11 @@
 
 // group is the hosts of one service, which run in one process.
 type group struct {
-	service  string
-	address  string // of the service
-	first    netip.AddrPort
-	control  string
-	speeds   []float64
-	answered map[string]int
+	service string
+	address string // of the service
+	first   netip.AddrPort
+	control string
+	speeds  []float64
 }
 
 var groups = []*group{
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -50,9 +50,10 @@
 
 // Link sends and receives messages.
 type Link struct {
-	config Config
-	tls    *tls.Config
-	tomb   tomb.Tomb
+	config  Config
+	tls     *tls.Config
+	tomb    tomb.Tomb
+	context context.Context // ends with the tomb
 
 	mu     sync.Mutex
 	queues map[netip.AddrPort]chan Message
@@ -61,6 +62,7 @@
 // New listens at the address and returns the link and the function that stops it.
 func New(c Config) (*Link, func(), error) {
 	l := &Link{config: c, queues: map[netip.AddrPort]chan Message{}}
+	l.context = l.tomb.Context(context.Background())
 	if err := l.loadKeys(); err != nil {
 		return nil, nil, err
 	}
@@ -70,7 +72,7 @@
 	}
 	l.tomb.Go(func() error {
 		for {
-			connection, err := listener.Accept(l.tomb.Context(nil))
+			connection, err := listener.Accept(l.context)
 			if err != nil {
 				return nil
 			}
@@ -159,7 +161,7 @@
 }
 
 func (l *Link) dial(to netip.AddrPort) *quic.Conn {
-	ctx, cancel := context.WithTimeout(l.tomb.Context(nil), deadline)
+	ctx, cancel := context.WithTimeout(l.context, deadline)
 	defer cancel()
 	connection, err := quic.DialAddr(ctx, to.String(), l.tls, quicConfig())
 	if err != nil {
@@ -169,7 +171,7 @@
 }
 
 func (l *Link) write(connection *quic.Conn, m Message) error {
-	ctx, cancel := context.WithTimeout(l.tomb.Context(nil), deadline)
+	ctx, cancel := context.WithTimeout(l.context, deadline)
 	defer cancel()
 	stream, err := connection.OpenUniStreamSync(ctx)
 	if err != nil {
@@ -191,7 +193,7 @@
 func (l *Link) receive(connection *quic.Conn) error {
 	from := connection.ConnectionState().TLS.PeerCertificates[0].Subject.CommonName
 	for {
-		stream, err := connection.AcceptUniStream(l.tomb.Context(nil))
+		stream, err := connection.AcceptUniStream(l.context)
 		if err != nil {
 			return nil
 		}
