--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -114,7 +114,7 @@
 	e.gate.Flows = e.FlowCapacity
 	e.flows.Pick = e.pick
 	e.flows.Rank = func(s *fleet.Service, k *packet.Key, out []*fleet.Host) []*fleet.Host {
-		return e.model.Rank(e.now, s, k, out)
+		return e.model.Rank(s, k, out)
 	}
 	e.flows.AllowRetry = e.gate.AllowRetry
 	e.flows.AllowProbe = e.gate.AllowProbe
