Make the stand-ins of callers and hosts repeatable

Tick walked over maps, so two runs of one seed sent segments and drew service times in different orders. Both now walk in the order of opening. Caller.Ended reports each outcome to a simulation.

--- a/internal/standin/backend/host.go
+++ b/internal/standin/backend/host.go
@@ -51,6 +51,7 @@
 	codec       geneve.Codec
 	view        packet.Packet
 	connections map[packet.Key]*connection
+	order       []*connection // as accepted, because the order of a map would differ between runs of one seed
 	open        int
 	queue       []job
 	running     []job // unordered; at most Slots
@@ -72,6 +73,7 @@
 }
 
 type connection struct {
+	key      packet.Key // of received packets
 	endpoint *tcp.Endpoint
 	line     []byte
 	counted  bool // counts towards the connection limit
@@ -168,13 +170,14 @@
 		return nil
 	}
 	reverse := p.Key.Reverse()
-	c := &connection{counted: true, endpoint: &tcp.Endpoint{
+	c := &connection{key: p.Key, counted: true, endpoint: &tcp.Endpoint{
 		Key: reverse, ISN: tcp.ISN(h.Random.Uint64(), &reverse, now), Emit: h.emit,
 	}}
 	if h.connections == nil {
 		h.connections = map[packet.Key]*connection{}
 	}
 	h.connections[p.Key] = c
+	h.order = append(h.order, c)
 	h.open++
 	h.Statistics.Accepted++
 	return c
@@ -270,18 +273,27 @@
 		return
 	}
 	h.sweepDue = now + sweepPeriod
-	for key, c := range h.connections {
+	kept := h.order[:0]
+	for _, c := range h.order {
+		if h.connections[c.key] != c {
+			continue
+		}
 		c.endpoint.Tick(now)
 		for c.fed < c.feed.Count && now >= c.feedDue && c.endpoint.Established() && h.Mode.Kind != Silent {
 			c.endpoint.Write(now, []byte(c.feed.Header(h.Name, c.fed)))
 			c.fed++
 			c.feedDue += c.feed.Interval
 		}
-		h.serve(now, key, c)
+		h.serve(now, c.key, c)
 		if c.endpoint.Done() && now >= c.expires {
-			h.forget(key, c)
+			h.forget(c.key, c)
+		}
+		if h.connections[c.key] == c {
+			kept = append(kept, c)
 		}
 	}
+	clear(h.order[len(kept):])
+	h.order = kept
 }
 
 // Snapshot returns the statistics with the current gauges.
--- a/internal/standin/backend/slots.go
+++ b/internal/standin/backend/slots.go
@@ -34,7 +34,7 @@
 func (h *Host) SetMode(now time.Duration, m Mode) {
 	h.advance(now)
 	if m.Kind == Dead {
-		h.connections, h.open, h.queue, h.running = nil, 0, nil, nil
+		h.connections, h.order, h.open, h.queue, h.running = nil, nil, 0, nil, nil
 	}
 	h.Mode, h.modeSince = m, now
 }
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -60,9 +60,13 @@
 	Random *rand.Rand
 	// Emit sends an IP packet to the fabric.
 	Emit func(inner []byte)
+	// Ended is told the outcome of each flow, with its key in the sent direction and the host that answered, if any; nil
+	// is not called.
+	Ended func(key packet.Key, outcome, host string)
 
 	view    packet.Packet
 	flows   map[packet.Key]*flow // by the key of received packets
+	order   []*flow              // as opened, because the order of a map would differ between runs of one seed
 	number  int
 	next    time.Duration
 	started bool
@@ -104,15 +108,18 @@
 	if timeout == 0 {
 		timeout = defaultTimeout
 	}
-	for key, f := range c.flows {
+	kept := c.order[:0]
+	for _, f := range c.order {
 		if f.outcome != "" {
 			if now >= f.expires || f.endpoint == nil || f.endpoint.Done() && f.endpoint.Cause != tcp.CauseFinished {
-				delete(c.flows, key)
+				c.forget(f)
 				continue
 			}
+			kept = append(kept, f)
 			f.endpoint.Tick(now)
 			continue
 		}
+		kept = append(kept, f)
 		if f.idle && now >= f.next {
 			c.ask(now, f)
 		}
@@ -134,6 +141,15 @@
 			c.end(now, f, cause)
 		}
 	}
+	clear(c.order[len(kept):])
+	c.order = kept
+}
+
+// forget removes the flow unless a newer one uses its port.
+func (c *Caller) forget(f *flow) {
+	if key := f.key.Reverse(); c.flows[key] == f {
+		delete(c.flows, key)
+	}
 }
 
 // Done reports whether all flows of the plan have an outcome.
@@ -158,6 +174,7 @@
 	if c.flows == nil {
 		c.flows = map[packet.Key]*flow{}
 	}
+	c.order = append(c.order, f)
 	c.pending++
 	c.counts.opened++
 	switch kind := c.Random.Float64(); {
--- a/internal/standin/caller/report.go
+++ b/internal/standin/caller/report.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -126,4 +127,7 @@
 	if f.endpoint != nil {
 		c.counts.retransmissions += f.endpoint.Retransmissions
 	}
+	if c.Ended != nil {
+		c.Ended(f.key, outcome, cmp.Or(f.server, f.host))
+	}
 }
