Add a simulated site for failure tests and measurements

A Site runs several engines, hosts, callers, a fabric and a platform on one virtual clock from one seed and checks the safety rules after each event. Two runs of one seed have equal traces.

--- /dev/null
+++ b/internal/standin/site/network.go
@@ -0,0 +1,198 @@
+package site
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/entry"
+	"github.com/masticspar/masticspar/internal/geneve"
+	"github.com/masticspar/masticspar/internal/member"
+)
+
+// Path is a pair of outer addresses.
+type Path struct {
+	// From and To are the outer source and destination.
+	From, To netip.AddrPort
+}
+
+// link is the connection for messages from one entry VM to another.
+type link struct {
+	port  uint16
+	since time.Duration // first message without an answer on a silent path; zero when there is none
+}
+
+// redial is the deadline of an exchange on a link, after which the sender dials again from a new local port.
+const redial = 2 * time.Second
+
+const platformZone = "platform"
+
+// Cut stops everything between two availability zones.
+func (s *Site) Cut(a, b string) { s.cut[[2]string{a, b}], s.cut[[2]string{b, a}] = true, true }
+
+// Isolate cuts an availability zone off from all others and from the platform.
+func (s *Site) Isolate(zone string) {
+	for _, z := range append(slices.Clone(s.Config.Zones), platformZone) {
+		if z != zone {
+			s.Cut(zone, z)
+		}
+	}
+}
+
+// Heal ends all cuts.
+func (s *Site) Heal() { clear(s.cut) }
+
+// carry delivers after the delay between two zones, unless the packet or message is lost on the way.
+func (s *Site) carry(from, to string, loss float64, f func()) {
+	lost := s.random.Float64() < loss
+	if lost || s.cut[[2]string{from, to}] {
+		return
+	}
+	d := s.Config.ZoneDelay
+	switch {
+	case from == "" || to == "":
+		d = s.Config.CallerDelay
+	case from == to:
+		d = s.Config.LocalDelay
+	}
+	// A spread of a tenth reorders packets now and then.
+	s.After(d+time.Duration(s.random.Int64N(int64(d)/10+1)), f)
+}
+
+// spray returns a random live entry VM that the fabric of the zone reaches.
+func (s *Site) spray(zone string) *VM {
+	var live []*VM
+	for _, v := range s.VMs {
+		if !v.Dead && !s.cut[[2]string{zone, v.Zone}] {
+			live = append(live, v)
+		}
+	}
+	if len(live) == 0 {
+		return nil
+	}
+	return live[s.random.IntN(len(live))]
+}
+
+// toEntry hands a datagram to an entry VM through the fabric.
+func (s *Site) toEntry(zone string, source netip.AddrPort, datagram []byte) {
+	v := s.spray(zone)
+	if v == nil || s.Silent[Path{source, netip.AddrPortFrom(v.Address, fabricPort)}] {
+		return
+	}
+	s.carry(zone, v.Zone, s.Loss, func() {
+		v.receive(func() { v.Engine.Datagram(v.now(), source, false, datagram) })
+	})
+}
+
+func (s *Site) fromCaller(zone string, inner []byte) {
+	if s.view.Parse(inner) != nil {
+		return
+	}
+	if s.view.SYN {
+		s.opened()
+	}
+	s.toEntry(zone, s.view.Key.SourceAddr(), geneve.Append(nil, inner, geneve.ToService, 0, netip.Addr{}))
+}
+
+func (s *Site) fromHost(h *Host, inner []byte) {
+	s.toEntry(h.Zone, h.Address, geneve.Append(nil, inner, geneve.ToCaller, 0, netip.Addr{}))
+}
+
+// source returns the outer source of a packet of a flow, as the pool of sockets chooses it.
+func (v *VM) source(hash uint64) netip.AddrPort {
+	return netip.AddrPortFrom(v.Address, poolPort+uint16((hash+uint64(v.now()/poolPeriod))%poolSize))
+}
+
+func (s *Site) toHost(v *VM, to netip.AddrPort, b []byte, hash uint64) {
+	h, source := s.byAddress[to.Addr()], v.source(hash)
+	if h == nil || s.Silent[Path{source, to}] {
+		return
+	}
+	s.carry(v.Zone, h.Zone, s.Loss, func() {
+		s.arrived(h, b)
+		accepted := h.Statistics.Accepted
+		h.Datagram(s.Now, source, b)
+		if h.Statistics.Accepted > accepted {
+			h.LastNew = s.Now
+		}
+	})
+}
+
+func (s *Site) toPeer(v *VM, to netip.AddrPort, b []byte, hash uint64) {
+	source := v.source(hash)
+	peer := s.at(to.Addr())
+	if peer == nil || s.Silent[Path{source, to}] {
+		return
+	}
+	s.carry(v.Zone, peer.Zone, s.Loss, func() {
+		peer.receive(func() { peer.Engine.Datagram(peer.now(), source, true, b) })
+	})
+}
+
+func (s *Site) toCaller(v *VM, b []byte, _ uint64) {
+	inner, err := s.codec.Decode(b)
+	if err != nil || s.view.Parse(inner) != nil {
+		s.violate("%s sent a malformed packet to the fabric", v.Name)
+		return
+	}
+	group := int(s.view.Key.DestinationAddr().Addr().As4()[1]) - 64
+	if group < 0 || group >= len(s.Callers) {
+		s.violate("%s sent a packet to the unknown caller %s", v.Name, s.view.Key)
+		return
+	}
+	s.carry(v.Zone, s.Config.Callers[group].Zone, s.Loss, func() { s.Callers[group].Packet(s.Now, inner) })
+}
+
+// at returns the live process at an address.
+func (s *Site) at(a netip.Addr) *VM {
+	for _, v := range slices.Backward(s.VMs) {
+		if v.Address == a && !v.Dead {
+			return v
+		}
+	}
+	return nil
+}
+
+// send carries a message; a member without a control address is found by its name.
+func (s *Site) send(v *VM, to member.Member, kind entry.Kind, body []byte) {
+	v.MessageBytes[kind] += len(body)
+	peer := s.VM(to.Name)
+	if to.Control.IsValid() {
+		peer = s.at(to.Control.Addr())
+	}
+	if peer == nil || peer.Dead {
+		return
+	}
+	path := s.LinkPath(v, peer)
+	if s.Silent[path] {
+		l := s.links[[2]string{v.Name, peer.Name}]
+		if l.since == 0 {
+			l.since = s.Now
+		}
+		if s.Now-l.since < redial {
+			return
+		}
+		l.port, l.since = l.port+1, 0
+	}
+	s.carry(v.Zone, peer.Zone, s.MessageLoss, func() {
+		peer.receive(func() {
+			m, err := entry.Decode(v.Name, kind, body)
+			if err != nil {
+				s.violate("%s: %v", peer.Name, err)
+				return
+			}
+			peer.Engine.Message(peer.now(), m)
+		})
+	})
+}
+
+// LinkPath returns the path on which messages from one entry VM to another travel at present.
+func (s *Site) LinkPath(from, to *VM) Path {
+	key := [2]string{from.Name, to.Name}
+	l := s.links[key]
+	if l == nil {
+		l = &link{port: linkPort}
+		s.links[key] = l
+	}
+	return Path{netip.AddrPortFrom(from.Address, l.port), netip.AddrPortFrom(to.Address, controlPort)}
+}
--- /dev/null
+++ b/internal/standin/site/platform.go
@@ -0,0 +1,78 @@
+package site
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/fleet"
+)
+
+// watchPeriod is the time between two reads of a watch that failed or that the platform answers with an old copy.
+const watchPeriod = time.Second
+
+// Platform is the configuration service; its fields are its faults.
+type Platform struct {
+	// Down makes it answer nothing.
+	Down bool
+	// Delay is added to each answer.
+	Delay time.Duration
+	// Old is the number of publications that its answers lag behind.
+	Old int
+	// Only are the names of the entry VMs that it answers; nil answers all.
+	Only map[string]bool
+
+	history [len(fleet.Kinds)][][]byte
+}
+
+// PublishInventory publishes the inventory of the site with the next version.
+func (s *Site) PublishInventory() {
+	s.Inventory.Version++
+	s.publish(fleet.Inventory, s.Inventory)
+}
+
+// PublishRules publishes the rules of the site with the next version.
+func (s *Site) PublishRules() {
+	s.Rules.Version++
+	s.publish(fleet.Rules, s.Rules)
+}
+
+func (s *Site) publish(kind fleet.Kind, d any) {
+	b, err := json.Marshal(d)
+	if err != nil {
+		panic(err) // The documents are plain data.
+	}
+	s.Platform.history[kind-1] = append(s.Platform.history[kind-1], b)
+	for _, v := range s.VMs {
+		v.read()
+	}
+}
+
+// watch reads the documents now and after each period.
+func (v *VM) watch() {
+	if v.Dead {
+		return
+	}
+	v.read()
+	v.site.After(watchPeriod, v.watch)
+}
+
+// read delivers what the platform serves if the process has not read it yet.
+func (v *VM) read() {
+	s, p := v.site, &v.site.Platform
+	if p.Down || v.Dead || v.Paused || p.Only != nil && !p.Only[v.Name] {
+		return
+	}
+	for i, kind := range fleet.Kinds {
+		n := max(1, len(p.history[i])-p.Old)
+		if n > len(p.history[i]) || uint64(n) == v.watched[i] {
+			continue
+		}
+		b := p.history[i][n-1]
+		s.carry(platformZone, v.Zone, 0, func() {
+			v.watched[i] = uint64(n)
+			s.After(p.Delay, func() {
+				v.receive(func() { v.Engine.Document(v.now(), fleet.Prepare(kind, "platform", b)) })
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/site/site.go
@@ -0,0 +1,224 @@
+package site
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/document"
+	"github.com/masticspar/masticspar/internal/geneve"
+	"github.com/masticspar/masticspar/internal/inventory"
+	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/rules"
+	"github.com/masticspar/masticspar/internal/standin/backend"
+	"github.com/masticspar/masticspar/internal/standin/caller"
+)
+
+// Start is the wall-clock time of the time zero of each site.
+var Start = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+
+// Site is a running simulation; New returns it ready.
+type Site struct {
+	// Config is what the site was made from; Tick and the delays may change during a run.
+	Config Config
+	// Now is the virtual time.
+	Now time.Duration
+	// VMs are the entry VM processes in the order of their start; replaced and dead ones stay in the list.
+	VMs []*VM
+	// Hosts are the backend servers in the order of the inventory.
+	Hosts []*Host
+	// Callers are the caller groups in the order of the Config.
+	Callers []*caller.Caller
+	// Platform serves the documents.
+	Platform Platform
+	// Loss and MessageLoss are the shares of lost packets and of lost messages between entry VMs.
+	Loss, MessageLoss float64
+	// Silent are the paths that lose everything.
+	Silent map[Path]bool
+	// Inventory and Rules are the documents as last published.
+	Inventory inventory.Document
+	// Rules are the rules as last published.
+	Rules rules.Document
+	// Violations are the broken safety rules, at most 20.
+	Violations []string
+	// Broken lists the flows that ended other than whole or refused.
+	Broken []Broken
+
+	random    *rand.Rand
+	queue     events
+	sequence  uint64
+	cut       map[[2]string]bool
+	links     map[[2]string]*link
+	flows     map[packet.Key]*flow
+	executed  map[string]int
+	codec     geneve.Codec
+	view      packet.Packet
+	byAddress map[netip.Addr]*Host
+}
+
+// Broken is a flow that did not end well.
+type Broken struct {
+	// Time is when its caller gave up.
+	Time time.Duration
+	// Key is the flow in the caller's direction.
+	Key packet.Key
+	// Cause is the outcome that the caller reported.
+	Cause string
+	// Host is the host that got the payload, empty when none did.
+	Host string
+}
+
+// Host is a backend server of the site.
+type Host struct {
+	*backend.Host
+	// Zone is the availability zone.
+	Zone string
+	// Service is the name of the service.
+	Service string
+	// Address is the tunnel address.
+	Address netip.AddrPort
+	// LastNew is when the host last accepted a new connection.
+	LastNew time.Duration
+	// Stopping says that the host stops as soon as nothing is open on it.
+	Stopping bool
+}
+
+type event struct {
+	at       time.Duration
+	sequence uint64
+	call     func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].sequence, q[j].sequence)) < 0
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*q = old[:len(old)-1]
+	return e
+}
+
+// After calls f when the virtual time has advanced by d.
+func (s *Site) After(d time.Duration, f func()) {
+	s.sequence++
+	heap.Push(&s.queue, event{s.Now + d, s.sequence, f})
+}
+
+// Run advances the virtual time by d.
+func (s *Site) Run(d time.Duration) {
+	end := s.Now + d
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		e := heap.Pop(&s.queue).(event)
+		s.Now = e.at
+		e.call()
+	}
+	s.Now = end
+}
+
+// New builds a site, publishes its first documents and starts its entry VMs.
+func New(c Config) *Site {
+	c.LocalDelay = cmp.Or(c.LocalDelay, 200*time.Microsecond)
+	c.ZoneDelay, c.CallerDelay = cmp.Or(c.ZoneDelay, time.Millisecond), cmp.Or(c.CallerDelay, time.Millisecond)
+	c.Tick, c.FlowCapacity = cmp.Or(c.Tick, 5*time.Millisecond), cmp.Or(c.FlowCapacity, 20_000)
+	c.PausedQueue = cmp.Or(c.PausedQueue, 256)
+	s := &Site{
+		Config: c, random: rand.New(rand.NewPCG(c.Seed, 0x517e)), Silent: map[Path]bool{}, cut: map[[2]string]bool{},
+		links: map[[2]string]*link{}, flows: map[packet.Key]*flow{}, executed: map[string]int{},
+		byAddress: map[netip.Addr]*Host{},
+	}
+	addresses := map[string]netip.AddrPort{}
+	s.Inventory.AvailabilityZones = c.Zones
+	for i, v := range c.Services {
+		addresses[v.Name] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 0, byte(i + 1)}), 443)
+		s.Inventory.Services = append(s.Inventory.Services, inventory.Service{
+			Name: v.Name, Protocol: v.Protocol, Addresses: []netip.AddrPort{addresses[v.Name]},
+			OwnerGroup: inventory.DefaultOwnerGroup, IdleTimeout: document.Duration(inventory.DefaultTCPIdleTimeout),
+			WarmUp:  document.Duration(inventory.DefaultWarmUp),
+			MaxWait: document.Duration(cmp.Or(v.MaxWait, inventory.DefaultMaxWait)),
+		})
+		for j := range v.Hosts {
+			s.addHost(i, j, addresses[v.Name])
+		}
+	}
+	for i, g := range c.Callers {
+		s.addCallers(i, g, addresses)
+	}
+	s.PublishInventory()
+	s.PublishRules()
+	for _, e := range c.Entries {
+		s.Join(e)
+	}
+	s.tick()
+	return s
+}
+
+func (s *Site) addHost(service, n int, address netip.AddrPort) {
+	v := s.Config.Services[service]
+	h := &Host{
+		Zone: s.Config.Zones[n%len(s.Config.Zones)], Service: v.Name,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(service), byte(n + 1)}), 6081),
+	}
+	h.Host = &backend.Host{
+		Name: fmt.Sprintf("%s-%d", v.Name, n), Services: []netip.AddrPort{address}, ServiceTime: v.ServiceTime,
+		Random:   rand.New(rand.NewPCG(s.Config.Seed, uint64(service)<<16|uint64(n)+1)),
+		Emit:     func(inner []byte, _ *packet.Key) { s.fromHost(h, inner) },
+		Executed: s.ran,
+	}
+	if len(v.Speeds) > 0 {
+		h.Speed = v.Speeds[n%len(v.Speeds)]
+	}
+	s.Hosts = append(s.Hosts, h)
+	s.byAddress[h.Address.Addr()] = h
+	s.Inventory.Hosts = append(s.Inventory.Hosts, inventory.Host{
+		Name: h.Name, Service: v.Name, AvailabilityZone: h.Zone, Address: h.Address, Weight: 1,
+		Slots: inventory.DefaultSlots, Connections: inventory.DefaultConnections,
+	})
+}
+
+func (s *Site) addCallers(n int, g Callers, addresses map[string]netip.AddrPort) {
+	p := g.Plan
+	p.Source4, p.Addresses = netip.AddrFrom4([4]byte{100, byte(64 + n), 0, 1}), 50
+	p.Token = fmt.Sprintf("group-%d", n)
+	p.Services = nil
+	for _, name := range g.Services {
+		p.Services = append(p.Services, addresses[name])
+	}
+	c := &caller.Caller{Plan: p, Random: rand.New(rand.NewPCG(s.Config.Seed, 0xca11<<16|uint64(n)))}
+	c.Emit = func(inner []byte) { s.fromCaller(g.Zone, inner) }
+	c.Ended = s.ended
+	s.Callers = append(s.Callers, c)
+}
+
+// tick runs hosts and callers and comes again after the period.
+func (s *Site) tick() {
+	for _, h := range s.Hosts {
+		h.Tick(s.Now)
+		if h.Stopping && h.Mode.Kind != backend.Dead && h.Snapshot(s.Now).OpenConnections == 0 {
+			h.SetMode(s.Now, backend.Mode{Kind: backend.Dead})
+		}
+	}
+	for _, c := range s.Callers {
+		c.Tick(s.Now)
+	}
+	s.After(s.Config.Tick, s.tick)
+}
+
+// Host returns the host with the name.
+func (s *Site) Host(name string) *Host {
+	for _, h := range s.Hosts {
+		if h.Name == name {
+			return h
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/site/vm.go
@@ -0,0 +1,176 @@
+package site
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/counter"
+	"github.com/masticspar/masticspar/internal/entry"
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/member"
+	"github.com/masticspar/masticspar/internal/timer"
+)
+
+// Ports of an entry VM.
+const (
+	fabricPort  = 6081
+	controlPort = 7000
+	dataPort    = 7001
+	poolPort    = 20000 // first of the pool of outer source ports
+	linkPort    = 30000 // first local port of links
+	poolSize    = 8
+	poolPeriod  = 5 * time.Second // in which the outer source port of a flow changes
+	mtu         = 1440
+)
+
+// VM is one entry VM process.
+type VM struct {
+	Entry
+	// Engine is the process under test.
+	Engine *entry.Engine
+	// Address is the IP address.
+	Address netip.Addr
+	// Counters are those of the engine.
+	Counters *counter.Set
+	// Started is when the process started.
+	Started time.Duration
+	// Dead says that the process has ended, Paused that it does not run.
+	Dead, Paused bool
+	// MessageBytes counts the bodies of the messages that the process sent, by kind.
+	MessageBytes [entry.Hint + 1]int
+	// QueueDrops counts what did not fit the queue during pauses.
+	QueueDrops int
+
+	site     *Site
+	timer    timer.Service
+	waiting  []func()
+	versions [len(fleet.Kinds)]uint64
+	watched  [len(fleet.Kinds)]uint64
+}
+
+// Join starts an entry VM process. One with the name of an earlier process takes its address.
+func (s *Site) Join(e Entry) *VM {
+	n := slices.IndexFunc(s.Config.Entries, func(o Entry) bool { return o.Name == e.Name })
+	if n < 0 {
+		n = len(s.Config.Entries)
+		s.Config.Entries = append(s.Config.Entries, e)
+	}
+	v := &VM{
+		Entry: e, Address: netip.AddrFrom4([4]byte{10, 0, 0, byte(n + 1)}), Counters: counter.New(), Started: s.Now, site: s,
+	}
+	epoch := Start.Add(s.Now)
+	v.Engine = &entry.Engine{
+		Self: member.Member{
+			Name: e.Name, Zone: e.Zone, Region: "region", Size: e.Size, Incarnation: uint64(epoch.UnixMilli()),
+			Control: netip.AddrPortFrom(v.Address, controlPort), Data: netip.AddrPortFrom(v.Address, dataPort),
+		},
+		Epoch: epoch, Seed: s.random.Uint64(), MTU: mtu, FlowCapacity: s.Config.FlowCapacity, Counters: v.Counters,
+		ToFabric: func(b []byte, hash uint64) { s.toCaller(v, slices.Clone(b), hash) },
+		ToHost:   func(to netip.AddrPort, b []byte, hash uint64) { s.toHost(v, to, slices.Clone(b), hash) },
+		ToPeer:   func(to netip.AddrPort, b []byte, hash uint64) { s.toPeer(v, to, slices.Clone(b), hash) },
+		Send:     func(to member.Member, kind entry.Kind, body []byte) { s.send(v, to, kind, body) },
+	}
+	// The contacts are the VMs in the settings of each process: the first three of the site.
+	for i := range min(3, len(s.Config.Entries)) {
+		v.Engine.Contacts = append(v.Engine.Contacts,
+			netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), controlPort))
+	}
+	s.VMs = append(s.VMs, v)
+	v.timer.OnPause(v.Engine.Pause)
+	v.timer.Subscribe(entry.TickPeriod, v.Engine.Tick)
+	v.Engine.Start(0)
+	v.tick()
+	v.watch()
+	return v
+}
+
+// tick lets the process run once in a tick period.
+func (v *VM) tick() {
+	if v.Dead {
+		return
+	}
+	if !v.Paused {
+		v.step(nil)
+	}
+	v.site.After(entry.TickPeriod, v.tick)
+}
+
+// step moves the clock of the process to the present, runs f in it and checks the process.
+func (v *VM) step(f func()) {
+	v.timer.Advance(v.site.Now - v.Started - v.timer.Now())
+	if f != nil {
+		f()
+	}
+	for i, kind := range fleet.Kinds {
+		n := v.Engine.Version(kind)
+		if n < v.versions[i] {
+			v.site.violate("%s went back from version %d to %d of %s", v.Name, v.versions[i], n, kind)
+		}
+		v.versions[i] = n
+	}
+}
+
+// receive runs f in the process, after its pause if it is paused.
+func (v *VM) receive(f func()) {
+	switch {
+	case v.Dead:
+	case !v.Paused:
+		v.step(f)
+	case len(v.waiting) < v.site.Config.PausedQueue:
+		v.waiting = append(v.waiting, f)
+	default:
+		v.QueueDrops++
+	}
+}
+
+// now is the reading of the clock of the process.
+func (v *VM) now() time.Duration { return v.timer.Now() }
+
+// Kill ends the process at once.
+func (v *VM) Kill() { v.Dead = true }
+
+// Pause stops the process until Wake; what arrives meanwhile waits in a bounded queue.
+func (v *VM) Pause() { v.Paused = true }
+
+// Wake continues the process: it handles what arrived in the pause before its first tick.
+func (v *VM) Wake() {
+	if v.Dead || !v.Paused {
+		return
+	}
+	v.Paused = false
+	v.timer.Skip(v.site.Now - v.Started - v.timer.Now())
+	v.timer.Check()
+	waiting := v.waiting
+	v.waiting = nil
+	for _, f := range waiting {
+		v.step(f)
+	}
+	v.step(nil)
+}
+
+// Drain lets the process leave as planned and end once it handed over its pins, or after 30 s.
+func (v *VM) Drain() {
+	v.receive(func() { v.Engine.Drain(v.now()) })
+	deadline := v.site.Now + 30*time.Second
+	var wait func()
+	wait = func() {
+		if !v.Paused && v.Engine.Drained() || v.site.Now >= deadline {
+			v.Kill()
+			return
+		}
+		v.site.After(100*time.Millisecond, wait)
+	}
+	// The announcement takes time to arrive; until then packets still come to this VM as the owner.
+	v.site.After(3*time.Second, wait)
+}
+
+// VM returns the latest process with the name.
+func (s *Site) VM(name string) *VM {
+	for _, v := range slices.Backward(s.VMs) {
+		if v.Name == name {
+			return v
+		}
+	}
+	return nil
+}
