--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -86,7 +86,6 @@
 	learned   time.Duration // When this process of the member was first heard of.
 	heard     time.Duration // Last message from the member.
 	suspected bool          // Waits to be declared dead; a leaving member keeps its state meanwhile.
-	accuser   bool          // This list raised the suspicion and keeps asking the member.
 	retryDue  time.Duration
 	sent      int
 	queued    bool
@@ -136,7 +135,7 @@
 	l.probes, l.relays = nil, nil
 	for _, r := range l.records {
 		if r.suspected {
-			r.since, r.accuser = now, false
+			r.since = now
 		}
 	}
 	for _, r := range l.queue { // Old news.
