Reset an unknown flow only after 6 s of search

Cause: an entry VM whose inventory lags does not know a new host, took the resets of all hosts it knew for the answer of all hosts, and reset an established flow of the new host. Ruled out: waiting for a newer inventory alone, since the entry VM cannot know that there is one. Change: until an update must be in force (6 s), all hosts are asked again. TestSearchResetsCaller now requires that no reset is sent before, and the same reset as before afterwards. Result: the new TestSearchFindsHostThatIsPublishedLate fails without the change and passes with it.

--- a/internal/flow/search.go
+++ b/internal/flow/search.go
@@ -52,8 +52,12 @@
 	c.probed = 0
 	h := t.candidate(n, c)
 	if h == nil && len(c.service.Hosts) > 0 && t.allRefused(c) {
-		t.searchFailed(now, n, c)
-		return ReasonUnknownFlow, false
+		if now-c.started >= resetAfter {
+			t.searchFailed(now, n, c)
+			return ReasonUnknownFlow, false
+		}
+		c.asked, c.refused = c.asked[:0], c.refused[:0] // Later packets ask all hosts again.
+		return ReasonSearching, false
 	}
 	if h == nil && restart {
 		c.asked = c.asked[:0]
--- a/internal/flow/search_test.go
+++ b/internal/flow/search_test.go
@@ -72,6 +72,13 @@
 // Guards against a caller that hangs on a connection that no host holds, and against a reset that fits another one.
 func TestSearchResetsCallerWhenAllRefuse(t *testing.T) {
 	r := newRig(t, packet.TCP, 2)
+	for range 6 { // The host may be one that is not published here yet, so all are asked again for 6 s.
+		r.data(stray)
+		r.passes(false, ReasonProbeReply)(r.resetProbe(1))
+		r.passes(false, ReasonProbeReply)(r.resetProbe(2))
+		r.now += time.Second
+	}
+	r.Equal(r.Len(), 1)
 	r.data(stray)
 	r.resetProbe(1)
 	r.passes(false, ReasonUnknownFlow)(r.resetProbe(2))
@@ -81,6 +88,22 @@
 	r.passes(false, ReasonUnknownFlow)(r.resetProbe(2)) // A duplicate must not reach the caller.
 }
 
+// Guards against a reset of a flow whose host another entry VM learned of first.
+func TestSearchFindsHostThatIsPublishedLate(t *testing.T) {
+	r := newRig(t, packet.TCP, 2)
+	r.data(stray)
+	r.resetProbe(1)
+	r.resetProbe(2)
+	r.s = service(packet.TCP, 3)
+	r.now += time.Second
+	r.data(stray)
+	r.resetProbe(1)
+	r.resetProbe(2)
+	r.Equal(r.lastProbe(), uint32(3))
+	r.passes(false, ReasonProbeReply)(r.reply(3, packet.Segment{Seq: stray, Ack: callISN + 1, ACK: true}))
+	r.goes(3, "")(r.data(stray))
+}
+
 // Guards against a search that never ends or that resets a caller whose host cannot be reached.
 func TestSearchEnds(t *testing.T) {
 	r := newRig(t, packet.TCP, 2)
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -33,9 +33,12 @@
 )
 
 const (
-	retryAfter     = time.Second // the first retransmission of a SYN by usual TCP stacks
-	probeTimeout   = 300 * time.Millisecond
-	searchTimeout  = 30 * time.Second
+	retryAfter    = time.Second // the first retransmission of a SYN by usual TCP stacks
+	probeTimeout  = 300 * time.Millisecond
+	searchTimeout = 30 * time.Second
+	// The host of a flow may be published so recently that this entry VM does not know it yet; an update is in force
+	// everywhere within 6 s.
+	resetAfter     = 6 * time.Second
 	shortTimeout   = 10 * time.Second // of half-open and closed pins
 	datagramIdle   = 2 * time.Minute
 	defaultIdle    = time.Hour
