--- a/internal/flow/search_test.go
+++ b/internal/flow/search_test.go
@@ -102,6 +102,9 @@
 	r.Equal(r.lastProbe(), uint32(3))
 	r.passes(false, ReasonProbeReply)(r.reply(3, packet.Segment{Seq: stray, Ack: callISN + 1, ACK: true}))
 	r.goes(3, "")(r.data(stray))
+	for _, e := range r.sent {
+		r.True(e.host != 0) // the caller got no reset
+	}
 }
 
 // Guards against a search that never ends or that resets a caller whose host cannot be reached.
