Replay the counterexamples of the specifications against the code

Cause: nothing tied the mutants of the specifications to the code. Traces of drain.pml are not replayed.

--- /dev/null
+++ b/internal/flow/replay_test.go
@@ -0,0 +1,201 @@
+package flow
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/packet"
+)
+
+// replay runs the events of a counterexample of model/pins.pml against tables, one for each entry VM.
+type replay struct {
+	*is.I
+	now      time.Duration
+	tables   [3]*Table
+	services [2]*fleet.Service
+	wanted   uint32 // host ID that Pick is asked to choose; zero refuses
+	open     [2]uint32
+	refused  [2]bool
+	ran      [2]map[uint32]bool
+}
+
+// hostISN is the initial sequence number of a host, far from those of the others.
+func hostISN(id uint32) uint32 { return id << 28 }
+
+func newReplay(t *testing.T) *replay {
+	r := &replay{I: is.New(t), now: time.Minute}
+	// Flow 0 belongs to the service on hosts 1 and 2, flow 1 to the service on host 3.
+	first, second := service(packet.TCP, 2), service(packet.TCP, 3)
+	second.ID, second.Hosts = 2, second.Hosts[2:]
+	r.services = [2]*fleet.Service{first, second}
+	for f := range r.ran {
+		r.ran[f] = map[uint32]bool{}
+	}
+	for e := range r.tables {
+		r.kill(e)
+	}
+	return r
+}
+
+func (r *replay) kill(e int) {
+	table := &Table{Capacity: 100}
+	table.Pick = func(_ time.Duration, s *fleet.Service, _ *packet.Key, _ []uint32) (*fleet.Host, string) {
+		if r.wanted == 0 {
+			return nil, "overload"
+		}
+		for _, h := range s.Hosts {
+			if h.ID == r.wanted {
+				return h, ""
+			}
+		}
+		return s.Hosts[0], "" // The event asks for a host of another service.
+	}
+	table.Rank = func(s *fleet.Service, _ *packet.Key, out []*fleet.Host) []*fleet.Host { return append(out, s.Hosts...) }
+	table.Emit = func(_ time.Duration, to *fleet.Host, b []byte) {
+		var p packet.Packet
+		r.NoErr(p.Parse(append([]byte(nil), b...)))
+		r.receive(e, to, &p)
+	}
+	r.tables[e] = table
+}
+
+func replayKey(f int) packet.Key { return flowKey(packet.TCP, uint16(5000+f)) }
+
+// receive handles a packet that a table sent to a host, or to the caller when the host is nil.
+func (r *replay) receive(e int, to *fleet.Host, p *packet.Packet) {
+	if to == nil {
+		return
+	}
+	f := int(p.Key.SourcePort) - 5000
+	if len(p.Payload) > 0 {
+		r.ran[f][to.ID] = true
+		return
+	}
+	if p.SYN {
+		return
+	}
+	answer := packet.Segment{Key: p.Key.Reverse(), Seq: p.Ack, RST: true}
+	if r.open[f] == to.ID {
+		answer = packet.Segment{Key: p.Key.Reverse(), Seq: hostISN(to.ID) + 1, Ack: callISN + 1, ACK: true}
+	}
+	r.tables[e].FromHost(r.now, r.services[f], to, parse(r.I, answer))
+}
+
+func (r *replay) call(e, f int, s packet.Segment) Verdict {
+	s.Key = replayKey(f)
+	p := parse(r.I, s)
+	v := r.tables[e].FromCaller(r.now, r.services[f], p)
+	if v.Action == ToHost {
+		r.receive(e, v.Host, p)
+	}
+	return v
+}
+
+func (r *replay) syn(e, f int, host uint32) {
+	r.wanted = host
+	r.call(e, f, packet.Segment{Seq: callISN, SYN: true})
+}
+
+// accept lets the SYN-ACK of a host reach the caller through every entry VM that passes it.
+func (r *replay) accept(f int, host uint32) {
+	for _, h := range r.services[f].Hosts {
+		if h.ID != host {
+			continue
+		}
+		p := parse(r.I, packet.Segment{
+			Key: replayKey(f).Reverse(), Seq: hostISN(host), Ack: callISN + 1, SYN: true, ACK: true,
+		})
+		for _, table := range r.tables {
+			table.FromHost(r.now, r.services[f], h, p)
+		}
+		r.open[f] = host
+	}
+}
+
+func (r *replay) payload(e, f int) {
+	r.call(e, f, packet.Segment{
+		Seq: callISN + 1, Ack: hostISN(r.open[f]) + 1, ACK: true, Payload: []byte("request"),
+	})
+}
+
+func (r *replay) event(line string) {
+	var name string
+	var a, b, c int
+	_, _ = fmt.Sscan(line, &name, &a, &b, &c)
+	r.now += 10 * time.Millisecond
+	switch name {
+	case "syn":
+		r.syn(a, b, uint32(c)+1)
+	case "resend":
+		r.syn(a, b, 0)
+	case "refuse":
+		r.syn(a, b, 0)
+	case "forget":
+		r.now += shortTimeout
+		r.tables[a].Sweep(r.now)
+	case "payload":
+		r.payload(a, b)
+	case "pause":
+		r.tables[a].Suspend()
+	case "kill":
+		r.kill(a)
+	case "accept":
+		r.accept(a, uint32(b)+1)
+	case "refused":
+		r.refused[a] = r.open[a] == 0
+	default:
+		r.Fail() // unknown event
+	}
+}
+
+func (r *replay) check() {
+	for f, hosts := range r.ran {
+		r.True(len(hosts) <= 1)                     // payload of one flow at one host only
+		r.True(!r.refused[f] || len(hosts) == 0)    // a refused flow never ran
+		r.True(len(hosts) == 0 || hosts[r.open[f]]) // and only where the caller is connected
+	}
+}
+
+// Guards against code that lacks a rule which the model checker found to be needed: each trace violates the
+// specification without one rule.
+func TestReplayOfModelTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/traces/*.txt")
+	is.New(t).NoErr(err)
+	is.New(t).Equal(len(files), 6)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			r := newReplay(t)
+			trace, err := os.Open(file)
+			r.NoErr(err)
+			defer func() { _ = trace.Close() }()
+			for lines := bufio.NewScanner(trace); lines.Scan(); {
+				r.event(lines.Text())
+				r.check()
+			}
+			r.delivers()
+		})
+	}
+}
+
+// delivers requires that payload of each open flow gets through one entry VM in the end.
+func (r *replay) delivers() {
+	for f, host := range r.open {
+		if host == 0 || r.refused[f] {
+			continue
+		}
+		for range 10 {
+			r.now += probeTimeout
+			r.payload(0, f)
+		}
+		r.True(r.ran[f][host])
+		r.check()
+	}
+}
--- /dev/null
+++ b/internal/spread/replay_test.go
@@ -0,0 +1,183 @@
+package spread
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/masticspar/masticspar/internal/fleet"
+)
+
+const replayProcesses = 3
+
+// replay runs the events of a counterexample of model/config.pml against spreaders. The platform is one that compares
+// versions, whatever the trace says, because that is an assumption about the platform.
+type replay struct {
+	*is.I
+	now       time.Duration
+	spreaders [replayProcesses]*Spreader
+	versions  [replayProcesses]uint64
+	peersHad  [replayProcesses]uint64 // what all others had in force at the start of the process
+	platform  []string                // content of each version
+	cut       int
+	linked    [replayProcesses]bool // messages of a new process are lost until it asked in the trace
+	content   map[uint64]uint64
+	seed      uint64
+}
+
+func newReplay(t *testing.T) *replay {
+	r := &replay{I: is.New(t), cut: -1, content: map[uint64]uint64{}}
+	for p := range r.spreaders {
+		r.start(p)
+	}
+	return r
+}
+
+func processName(p int) string { return fmt.Sprint("entry-", p) }
+
+func (r *replay) start(p int) {
+	r.seed++
+	s := &Spreader{Picture: &fleet.Picture{}}
+	s.Send = func(to string, m Message) {
+		for q := range r.spreaders {
+			if processName(q) == to && r.spreaders[q] != nil && r.cut != p && r.cut != q && r.linked[p] && r.linked[q] {
+				m.Prepare(processName(p))
+				r.spreaders[q].Handle(r.now, processName(p), m)
+			}
+		}
+	}
+	s.Peers = func() []string {
+		var names []string
+		for q := range r.spreaders {
+			if q != p {
+				names = append(names, processName(q))
+			}
+		}
+		return names
+	}
+	r.spreaders[p], r.versions[p], r.linked[p] = s, 0, false
+	r.peersHad[p] = r.lowest(p)
+	s.Start(r.now, r.seed)
+	s.Tick(r.now)
+}
+
+// lowest returns what all processes but p have in force, if all of them can be reached.
+func (r *replay) lowest(p int) uint64 {
+	least := uint64(1 << 62)
+	for q, s := range r.spreaders {
+		if q != p && (s == nil || r.cut >= 0) {
+			return 0
+		}
+		if q != p {
+			least = min(least, s.Picture.Versions().Rules.Number)
+		}
+	}
+	return least
+}
+
+func (r *replay) event(line string) {
+	var name string
+	var a, b int
+	_, _ = fmt.Sscan(line, &name, &a, &b)
+	r.now += 10 * time.Millisecond
+	switch name {
+	case "publish":
+		if a == len(r.platform)+1 {
+			r.platform = append(r.platform, fmt.Sprint("host-", b))
+		}
+	case "platform":
+		if b <= len(r.platform) && r.cut != a {
+			document := fleet.Prepare(fleet.Rules, "platform", rulesOf(b, r.platform[b-1]))
+			_, _ = r.spreaders[a].Platform(r.now, document)
+		}
+	case "spread":
+		r.spreaders[a].Handle(r.now, processName(b), Message{Digest: &Digest{Versions: r.spreaders[b].Picture.Versions()}})
+	case "ask", "ready":
+		r.linked[a] = true
+		r.now += QueryPeriod
+		r.spreaders[a].Tick(r.now)
+		if !r.spreaders[a].Ready() { // No other process is ready.
+			r.now += ReadyBound
+		}
+	case "kill":
+		r.start(a)
+	case "cut":
+		r.cut = a
+	case "heal":
+		r.cut = -1
+	default:
+		r.Fail() // unknown event
+	}
+	for _, s := range r.spreaders {
+		s.Tick(r.now)
+	}
+}
+
+func (r *replay) check() {
+	for p, s := range r.spreaders {
+		v := s.Picture.Versions().Rules
+		r.True(v.Number >= r.versions[p]) // a version in force never decreases
+		r.versions[p] = v.Number
+		if v.Number > 0 {
+			known, ok := r.content[v.Number]
+			r.True(!ok || known == v.Hash) // one content under one version
+			r.content[v.Number] = v.Hash
+		}
+		if r.cut >= 0 {
+			r.peersHad[p] = 0
+		}
+		if v.Number > 0 && s.Ready() {
+			r.True(v.Number >= r.peersHad[p]) // no start with an older version than all peers had
+		}
+	}
+}
+
+// Guards against code that lacks a rule which the model checker found to be needed: each trace violates the
+// specification without one rule.
+func TestReplayOfModelTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/traces/*.txt")
+	is.New(t).NoErr(err)
+	is.New(t).Equal(len(files), 4)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			r := newReplay(t)
+			trace, err := os.Open(file)
+			r.NoErr(err)
+			defer func() { _ = trace.Close() }()
+			for lines := bufio.NewScanner(trace); lines.Scan(); {
+				r.event(lines.Text())
+				r.check()
+			}
+			r.spreads()
+		})
+	}
+}
+
+// spreads requires that all processes get the newest version in force, with the platform down and the partition healed.
+func (r *replay) spreads() {
+	r.event("heal")
+	r.linked = [replayProcesses]bool{true, true, true}
+	newest := uint64(0)
+	for _, s := range r.spreaders {
+		newest = max(newest, s.Picture.Versions().Rules.Number)
+	}
+	for p := range r.spreaders {
+		for q := range r.spreaders {
+			if p != q {
+				r.event(fmt.Sprintf("spread %d %d", p, q))
+			}
+		}
+	}
+	r.now += RequestDeadline
+	for _, s := range r.spreaders {
+		s.Tick(r.now)
+		r.Equal(s.Picture.Versions().Rules.Number, newest)
+	}
+	r.check()
+}
--- a/model/config.pml
+++ b/model/config.pml
@@ -76,17 +76,21 @@
 		:: v = published
 		:: published > 1 && !quiet -> v = published - 1
 		fi;
+		printf("event platform %d %d\n", p, v);
 		accept(p, v, copy[v]);
 		v = 0 }
 	/* A ping or an announcement of a peer carries its version, and the document is asked for. */
 #ifndef NO_SPREAD
 	:: atomic { CONNECTED(p, (p + 1) % PROCESSES) && version[(p + 1) % PROCESSES] > version[p] ->
+		printf("event spread %d %d\n", p, (p + 1) % PROCESSES);
 		accept(p, version[(p + 1) % PROCESSES], content[(p + 1) % PROCESSES]) }
 	:: atomic { CONNECTED(p, (p + 2) % PROCESSES) && version[(p + 2) % PROCESSES] > version[p] ->
+		printf("event spread %d %d\n", p, (p + 2) % PROCESSES);
 		accept(p, version[(p + 2) % PROCESSES], content[(p + 2) % PROCESSES]) }
 #endif
 	/* A fresh process asks its contacts and takes the newest of them; without any answer it goes on after 3 s. */
 	:: atomic { !asked[p] ->
+		printf("event ask %d\n", p);
 		newest_reachable(p);
 		for (j : 0 .. PROCESSES - 1) {
 			if
@@ -102,10 +106,12 @@
 		asked[p] = true; v = 0; best = 0 }
 	/* From now on the process decides about flows with what it has in force. */
 	:: atomic { !ready[p] && version[p] > 0 && PEERS_FIRST(p) ->
+		printf("event ready %d\n", p);
 		assert(version[p] >= floor[p]);                         /* no stale start */
 		ready[p] = true }
 	/* Killed and replaced by a fresh process. */
 	:: atomic { !quiet && ready[p] && p == 0 ->
+		printf("event kill %d\n", p);
 		version[p] = 0; content[p] = 0; ready[p] = false; asked[p] = false;
 		if
 		:: cut == PROCESSES && BOTH_READY(p) -> floor[p] = MIN(version[(p + 1) % PROCESSES], version[(p + 2) % PROCESSES])
@@ -122,9 +128,9 @@
 	:: atomic { !quiet && base < VERSIONS ->
 		if
 #ifdef NO_COMPARE_AND_SET
-		:: true -> published = base + 1; copy[base + 1] = id
+		:: true -> printf("event publish %d %d\n", base + 1, id); published = base + 1; copy[base + 1] = id
 #else
-		:: base + 1 > published -> published = base + 1; copy[base + 1] = id
+		:: base + 1 > published -> printf("event publish %d %d\n", base + 1, id); published = base + 1; copy[base + 1] = id
 		:: else -> skip /* refused: someone else published */
 #endif
 		fi }
@@ -135,8 +141,8 @@
 	byte p;
 end:	do
 	:: atomic { !quiet -> platform_up = !platform_up }
-	:: atomic { !quiet && cut == PROCESSES -> select(p : 0 .. PROCESSES - 1); cut = p; p = 0; floor[0] = 0 }
-	:: atomic { !quiet && cut != PROCESSES -> cut = PROCESSES }
+	:: atomic { !quiet && cut == PROCESSES -> select(p : 0 .. PROCESSES - 1); printf("event cut %d\n", p); cut = p; p = 0; floor[0] = 0 }
+	:: atomic { !quiet && cut != PROCESSES -> printf("event heal\n"); cut = PROCESSES }
 	:: atomic { !quiet -> cut = PROCESSES; platform_up = false; quiet = true }
 	od
 }
--- a/model/pins.pml
+++ b/model/pins.pml
@@ -71,19 +71,21 @@
 #else
 		:: true ->
 #endif
+			printf("event syn %d %d %d\n", e, f, h);
 			entry[e].state[f] = HALF;
 			entry[e].host[f] = h;
 			entry[e].excluded[f] = 0;
 			syn_at[f] = syn_at[f] | BIT(h);
 			synack[f] = synack[f] | BIT(h)
-		:: !settled -> reset[f] = true      /* refusal for any reason */
+		:: !settled -> printf("event refuse %d %d\n", e, f); reset[f] = true /* for any reason */
 		:: else -> skip
 		fi
 	:: entry[e].state[f] == HALF ->                 /* retransmission, or another host after silence or RST */
 		if
-		:: syn_at[f] = syn_at[f] | BIT(entry[e].host[f]);
+		:: printf("event resend %d %d\n", e, f);
+		   syn_at[f] = syn_at[f] | BIT(entry[e].host[f]);
 		   synack[f] = synack[f] | BIT(entry[e].host[f])
-		:: entry[e].state[f] = NONE; entry[e].host[f] = 0
+		:: printf("event forget %d %d\n", e, f); entry[e].state[f] = NONE; entry[e].host[f] = 0
 		fi
 	:: else -> skip
 	fi;
@@ -92,6 +94,7 @@
 
 /* Payload that acknowledges the server's sequence number arrives at an entry VM. */
 inline handle_payload(e, f) {
+	printf("event payload %d %d\n", e, f);
 	if
 	:: entry[e].state[f] == ESTABLISHED && entry[e].host[f] == accepted[f] ->
 		forward_payload(f, accepted[f])
@@ -173,9 +176,11 @@
 	:: atomic { !settled && caller[f] == OPEN && delivered[f] -> handle_payload(e, f) }
 	/* Waking from a pause, or a hint: the pin is only a guess from now on. */
 	:: atomic { !settled && entry[e].state[f] == ESTABLISHED ->
+		printf("event pause %d\n", e);
 		entry[e].state[f] = UNVERIFIED; entry[e].host[f] = 0 }
 	/* Killed and replaced by a new process. */
 	:: atomic { !settled ->
+		printf("event kill %d\n", e);
 		entry[e].state[f] = NONE; entry[e].host[f] = 0; entry[e].excluded[f] = 0 }
 	od
 }
@@ -190,13 +195,14 @@
 		:: (synack[f] & 2) -> h = 1
 		:: (synack[f] & 4) -> h = 2
 		fi;
+		printf("event accept %d %d\n", f, h);
 		accepted[f] = h;
 		caller[f] = OPEN;
 		/* The ACK that completes the handshake reaches the host with the first forwarded packet or probe. */
 		open_at[f] = BIT(h) }
-	:: atomic { caller[f] == SYNSENT && reset[f] -> caller[f] = REFUSED; assert(ran[f] == 0) }
+	:: atomic { caller[f] == SYNSENT && reset[f] -> printf("event refused %d\n", f); caller[f] = REFUSED; assert(ran[f] == 0) }
 #ifdef RESET_UNKNOWN
-	:: atomic { caller[f] == OPEN && reset[f] -> caller[f] = REFUSED; assert(ran[f] == 0) }
+	:: atomic { caller[f] == OPEN && reset[f] -> printf("event refused %d\n", f); caller[f] = REFUSED; assert(ran[f] == 0) }
 #endif
 	od
 }
