Report a silent host without waiting for the retry budget

Cause: the Unanswered event was sent only when the SYN moved to another host, which takes a retry token. Without tokens the flow stayed and nobody learned that the host is silent, so new flows kept going there. Ruled out: loss on the path (callers of the same availability zone are not lossy) and the choice of the owner.

--- a/internal/flow/caller.go
+++ b/internal/flow/caller.go
@@ -30,6 +30,8 @@
 		if v, ok := t.moveUnanswered(now, s, n, h, p); ok {
 			return v
 		}
+		// Without budget the flow stays at its host, but new flows must learn that the host is silent.
+		t.unanswered(now, n)
 	}
 	n.extend(now, shortTimeout)
 	return Verdict{Action: ToHost, Host: h}
--- a/internal/flow/handshake_test.go
+++ b/internal/flow/handshake_test.go
@@ -63,6 +63,18 @@
 	r.Equal(r.kinds(), []signal.Kind{signal.Accepted})
 }
 
+// Guards against new flows to a host that is silent to a flow that has no budget to move.
+func TestSilentHostIsReportedWithoutRetryBudget(t *testing.T) {
+	r := newRig(t, packet.TCP, 2)
+	r.AllowRetry = func(time.Duration) bool { return false }
+	r.syn()
+	for range 4 { // Two of them are a second or more after the event before.
+		r.now += retryAfter * 6 / 10
+		r.goes(1, "")(r.syn())
+	}
+	r.Equal(r.kinds(), []signal.Kind{signal.Opened, signal.Unanswered, signal.Unanswered})
+}
+
 // Guards against a leaving host that gets a SYN again because the retry budget is empty.
 func TestSYNLeavesLeavingHost(t *testing.T) {
 	r := newRig(t, packet.TCP, 2)
--- a/internal/flow/pin.go
+++ b/internal/flow/pin.go
@@ -66,11 +66,18 @@
 	n.flags &^= outstanding | counted
 }
 
-// unanswered tells that the host did not answer the SYN, if it had the time to.
+// unanswered tells that the host did not answer the SYN, if it had the time to since the last such event.
 func (t *Table) unanswered(now time.Duration, n *pin) {
-	if n.state == halfOpen && !n.is(accepted) && n.is(counted) && now-n.since >= retryAfter {
-		t.observe(now, n, signal.Event{Kind: signal.Unanswered, Elapsed: now - n.since})
+	if n.state != halfOpen || n.is(accepted) || !n.is(counted) || now-n.since < retryAfter {
+		return
+	}
+	if c := t.sideOf(n); c != nil {
+		if c.blamed > n.since && now-c.blamed < retryAfter {
+			return
+		}
+		c.blamed = now
 	}
+	t.observe(now, n, signal.Event{Kind: signal.Unanswered, Elapsed: now - n.since})
 }
 
 // drop removes the pin.
--- a/internal/flow/side.go
+++ b/internal/flow/side.go
@@ -15,6 +15,8 @@
 	syn   []byte   // the bare SYN, to be sent again when the host refuses it; empty when there is none
 	tried []uint32 // hosts that got the SYN
 
+	blamed time.Duration // of the last Unanswered event
+
 	searching     bool
 	started, sent time.Duration // of the search and of the last probe
 	seq, ack      uint32        // the lowest sequence number and the last ACK number of the caller
--- a/internal/signal/event.go
+++ b/internal/signal/event.go
@@ -6,7 +6,8 @@
 type Kind uint8
 
 // Kinds of events. For each flow, Opened comes first and Closed last; each Requested is followed by one of Answered and
-// Abandoned. A handshake that ends with Refused or Unanswered is followed by Closed.
+// Abandoned. Unanswered comes again each second or later while
+// the flow stays at a silent host. A handshake that ends with Refused or Unanswered is followed by Closed.
 const (
 	Opened     Kind = iota + 1 // a flow was pinned to the host
 	Accepted                   // the SYN-ACK arrived; Elapsed is the handshake time
