Pick a host that was not tried when several are silent

Cause: the capacity model avoids one host only, and the engine took a host that had been tried as a sign that none is left, after the retry token was spent. Ruled out: hosts excluded as bad, which Rank returns too. The test fails without the change with no-host on the third host.

--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -155,10 +155,16 @@
 	if reason == capacity.Overload {
 		e.gate.Overloaded(now)
 	}
-	if h != nil && slices.Contains(avoid, h.ID) {
-		return nil, capacity.NoHost
+	if h == nil || !slices.Contains(avoid, h.ID) {
+		return h, reason
 	}
-	return h, reason
+	// The model avoids only the last host that was tried; with several silent ones it often returns one of the others.
+	for _, h := range e.model.Rank(now, s, k, nil) {
+		if !h.Leaving && !slices.Contains(avoid, h.ID) {
+			return h, ""
+		}
+	}
+	return nil, capacity.NoHost
 }
 
 // Document offers a document that the platform served and reports whether it was put in force. The caller prepares it
--- /dev/null
+++ b/internal/entry/engine_test.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/member"
+	"github.com/masticspar/masticspar/internal/packet"
+)
+
+const document = `{"version": 1, "availability-zones": ["a"],
+"services": [{"name": "standdesk", "protocol": "tcp", "addresses": ["10.9.0.1:443"], "owner-group": 8}],
+"hosts": [
+{"name": "host-0", "service": "standdesk", "availability-zone": "a", "address": "10.1.0.1:6081", "weight": 1},
+{"name": "host-1", "service": "standdesk", "availability-zone": "a", "address": "10.1.0.2:6081", "weight": 1},
+{"name": "host-2", "service": "standdesk", "availability-zone": "a", "address": "10.1.0.3:6081", "weight": 1},
+{"name": "host-3", "service": "standdesk", "availability-zone": "a", "address": "10.1.0.4:6081", "weight": 1}]}`
+
+// Guards against a SYN that stays at a silent host although a host is left that it was not sent to.
+func TestPickAvoidsAllHostsThatWereTried(t *testing.T) {
+	is := is.New(t)
+	e := &Engine{
+		Self: member.Member{Name: "entry-0", Size: 1, Control: netip.MustParseAddrPort("10.0.0.1:7000")}, FlowCapacity: 100,
+		Send: func(member.Member, Kind, []byte) {},
+	}
+	e.Start(0)
+	e.Tick(4 * time.Second)
+	is.True(e.Document(4*time.Second, fleet.Prepare(fleet.Inventory, "platform", []byte(document))))
+	s := e.picture.Services()[0]
+	for port := range uint16(100) {
+		k := packet.NewKey(packet.TCP, netip.AddrPortFrom(netip.MustParseAddr("192.0.2.1"), 4000+port), s.Addresses[0])
+		var tried []uint32
+		for range s.Hosts {
+			h, reason := e.pick(5*time.Second, s, &k, tried)
+			is.Equal(reason, "")
+			tried = append(tried, h.ID)
+		}
+		h, _ := e.pick(5*time.Second, s, &k, tried)
+		is.True(h == nil)
+	}
+}
