--- a/internal/standin/backend/host.go
+++ b/internal/standin/backend/host.go
@@ -31,6 +31,8 @@
 	Slots int
 	// MaxConnections is the greatest number of open connections; zero selects 2,000.
 	MaxConnections int
+	// MaxRetries is that of the TCP endpoints.
+	MaxRetries int
 	// ServiceTime is the mean time of a request at speed 1.
 	ServiceTime time.Duration
 	// Speed divides the service time; zero selects 1.
@@ -171,7 +173,7 @@
 	}
 	reverse := p.Key.Reverse()
 	c := &connection{key: p.Key, counted: true, endpoint: &tcp.Endpoint{
-		Key: reverse, ISN: tcp.ISN(h.Random.Uint64(), &reverse, now), Emit: h.emit,
+		Key: reverse, ISN: tcp.ISN(h.Random.Uint64(), &reverse, now), MaxRetries: h.MaxRetries, Emit: h.emit,
 	}}
 	if h.connections == nil {
 		h.connections = map[packet.Key]*connection{}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -49,6 +49,8 @@
 	ExchangeInterval time.Duration
 	// Timeout is the time without any progress after which a flow is broken; zero selects 60 s.
 	Timeout time.Duration
+	// MaxRetries is that of the TCP endpoints.
+	MaxRetries int
 	// Token is the prefix of the request tokens; processes that share backend servers need different ones.
 	Token string
 }
@@ -191,6 +193,7 @@
 	}
 	f.key = packet.NewKey(packet.TCP, source, service)
 	f.endpoint = &tcp.Endpoint{Key: f.key, ISN: tcp.ISN(c.Random.Uint64(), &f.key, now), Emit: c.emit}
+	f.endpoint.MaxRetries = c.Plan.MaxRetries
 	c.flows[f.key.Reverse()] = f
 	f.endpoint.Write(now, []byte(f.request.Line()))
 	f.endpoint.Connect(now)
--- a/internal/standin/site/config.go
+++ b/internal/standin/site/config.go
@@ -26,6 +26,8 @@
 	Tick time.Duration
 	// FlowCapacity is the greatest number of pins of an entry VM; zero selects 20,000.
 	FlowCapacity int
+	// MaxRetries is that of the TCP endpoints of callers and hosts.
+	MaxRetries int
 	// PausedQueue is the number of datagrams and messages that wait for a paused entry VM; zero selects 256.
 	PausedQueue int
 }
@@ -62,7 +64,7 @@
 	Zone string
 	// Services are the names of the services.
 	Services []string
-	// Plan says what the group does; Services, Source4, Addresses and Token are set by the site.
+	// Plan says what the group does; Services, Source4, Addresses, Token and MaxRetries are set by the site.
 	Plan caller.Plan
 }
 
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -169,7 +169,7 @@
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(service), byte(n + 1)}), 6081),
 	}
 	h.Host = &backend.Host{
-		Name: fmt.Sprintf("%s-%d", v.Name, n), Services: []netip.AddrPort{address}, ServiceTime: v.ServiceTime,
+		Name: fmt.Sprintf("%s-%d", v.Name, n), Services: []netip.AddrPort{address}, ServiceTime: v.ServiceTime, MaxRetries: s.Config.MaxRetries,
 		Random:   rand.New(rand.NewPCG(s.Config.Seed, uint64(service)<<16|uint64(n)+1)),
 		Emit:     func(inner []byte, _ *packet.Key) { s.fromHost(h, inner) },
 		Executed: s.ran,
@@ -189,7 +189,7 @@
 	p := g.Plan
 	p.Source4, p.Addresses = netip.AddrFrom4([4]byte{100, byte(64 + n), 0, 1}), 50
 	p.Token = fmt.Sprintf("group-%d", n)
-	p.Services = nil
+	p.Services, p.MaxRetries = nil, s.Config.MaxRetries
 	for _, name := range g.Services {
 		p.Services = append(p.Services, addresses[name])
 	}
--- a/internal/standin/tcp/endpoint.go
+++ b/internal/standin/tcp/endpoint.go
@@ -1,6 +1,7 @@
 package tcp
 
 import (
+	"cmp"
 	"encoding/binary"
 	"time"
 
@@ -14,7 +15,7 @@
 	maxInFlight  = 4    // segments
 	firstTimeout = 200 * time.Millisecond
 	maxTimeout   = 3200 * time.Millisecond // keeps the retries of a flow in search within its 30 s
-	maxRetries   = 15                      // about 38 s without progress
+	maxRetries   = 15                      // default; about 38 s without progress
 	windowSize   = 65535
 )
 
@@ -46,6 +47,8 @@
 	Key packet.Key
 	// ISN is the initial sequence number of this side.
 	ISN uint32
+	// MaxRetries is the number of timeouts without progress after which the connection ends; zero selects 15.
+	MaxRetries int
 	// Emit sends a segment; its payload is valid only during the call.
 	Emit func(packet.Segment)
 	// Cause says why the connection ended; it is empty before the end.
@@ -146,7 +149,7 @@
 		return
 	}
 	e.retries++
-	if e.retries > maxRetries {
+	if e.retries > cmp.Or(e.MaxRetries, maxRetries) {
 		e.end(CauseTimeout)
 		return
 	}
