--- /dev/null
+++ b/internal/peer/budget.go
@@ -0,0 +1,77 @@
+package peer
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// budget is the token bucket of all links of a process. A message is charged when it is queued; bytes that leave
+// the sockets beyond that (handshakes, acknowledgements, retransmissions) are charged when they are sent.
+type budget struct {
+	rate, burst float64
+
+	mu     sync.Mutex
+	tokens float64
+	prior  float64 // Bytes charged for messages that have not left yet.
+	last   time.Duration
+}
+
+// take charges n bytes for a message, or reports that the message is to be dropped.
+func (b *budget) take(now time.Duration, kind Kind, n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.burst, b.tokens+b.rate*(now-b.last).Seconds())
+	b.last = now
+	left := b.tokens - float64(n)
+	if kind == Hint && left < b.burst/2 || kind == Report && left < 0 {
+		return false
+	}
+	b.tokens = max(left, -b.burst) // A document must not silence reports for minutes.
+	b.prior += float64(n)
+	return true
+}
+
+// refund takes back the charge for a message that was dropped before it was sent.
+func (b *budget) refund(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n = int(min(float64(n), b.prior))
+	b.prior -= float64(n)
+	b.tokens = min(b.burst, b.tokens+float64(n))
+}
+
+// sent charges what left a socket and was not charged before.
+func (b *budget) sent(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := min(float64(n), b.prior)
+	b.prior -= known
+	b.tokens = max(b.tokens-(float64(n)-known), -b.burst)
+}
+
+// socket counts and charges what is written to a UDP socket.
+type socket struct {
+	*net.UDPConn
+	budget *budget
+	bytes  metrics.Counter
+}
+
+// WriteMsgUDP writes as net.UDPConn does.
+func (s *socket) WriteMsgUDP(b, oob []byte, addr *net.UDPAddr) (n, oobn int, err error) {
+	s.count(len(b))
+	return s.UDPConn.WriteMsgUDP(b, oob, addr)
+}
+
+// WriteTo writes as net.UDPConn does.
+func (s *socket) WriteTo(b []byte, addr net.Addr) (int, error) {
+	s.count(len(b))
+	return s.UDPConn.WriteTo(b, addr)
+}
+
+func (s *socket) count(n int) {
+	s.bytes.Inc(int64(n))
+	s.budget.sent(n)
+}
--- /dev/null
+++ b/internal/peer/keys.go
@@ -0,0 +1,97 @@
+package peer
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"slices"
+
+	"github.com/juju/errors"
+)
+
+const protocol = "masticspar/1"
+
+// keys are the parsed files of a process; a set is immutable.
+type keys struct {
+	certificate tls.Certificate
+	roots       *x509.CertPool
+	raw         []byte
+}
+
+// load reads the files, or returns the current keys if nothing changed.
+func load(c Config, current *keys) (*keys, error) {
+	var parts [3][]byte
+	for i, path := range []string{c.CA, c.Certificate, c.Key} {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		parts[i] = data
+	}
+	raw := bytes.Join(parts[:], []byte{0})
+	if current != nil && bytes.Equal(raw, current.raw) {
+		return current, nil
+	}
+	k := &keys{roots: x509.NewCertPool(), raw: raw}
+	if !k.roots.AppendCertsFromPEM(parts[0]) {
+		return nil, errors.Errorf("no certificate in %s", c.CA)
+	}
+	var err error
+	if k.certificate, err = tls.X509KeyPair(parts[1], parts[2]); err != nil {
+		return nil, errors.Annotate(err, c.Certificate)
+	}
+	if !slices.Contains(k.certificate.Leaf.DNSNames, c.Name) {
+		return nil, errors.Errorf("%s is not for member %q", c.Certificate, c.Name)
+	}
+	return k, nil
+}
+
+// config returns the TLS settings of a handshake with the named member, or with any member if the name is empty.
+func (l *Link) config(k *keys, name string, usage x509.ExtKeyUsage) *tls.Config {
+	return &tls.Config{
+		Certificates: []tls.Certificate{k.certificate},
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{protocol},
+		// The larger post-quantum share would need a second packet for each first flight.
+		CurvePreferences: []tls.CurveID{tls.X25519},
+		// A resumed session would keep a certificate in use after the CA was replaced.
+		SessionTicketsDisabled: true,
+		ClientAuth:             tls.RequireAnyClientCert,
+		// verify checks the chain and the name on both sides; the address of a contact is known before its name.
+		InsecureSkipVerify: true,
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return l.verify(k, state, name, usage)
+		},
+	}
+}
+
+func (l *Link) verify(k *keys, state tls.ConnectionState, name string, usage x509.ExtKeyUsage) error {
+	if len(state.PeerCertificates) == 0 {
+		l.Counters.Add("peer-refused-certificate", 1)
+		return errors.New("peer sent no certificate")
+	}
+	options := x509.VerifyOptions{
+		Roots: k.roots, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{usage},
+	}
+	for _, c := range state.PeerCertificates[1:] {
+		options.Intermediates.AddCert(c)
+	}
+	if _, err := state.PeerCertificates[0].Verify(options); err != nil {
+		l.Counters.Add("peer-refused-certificate", 1)
+		return errors.Trace(err)
+	}
+	if got := certifiedName(state); got == "" || name != "" && got != name {
+		l.Counters.Add("peer-refused-name", 1)
+		return errors.Errorf("certificate is for %q instead of %q", got, name)
+	}
+	return nil
+}
+
+// certifiedName returns the member name that a verified certificate proves, or "".
+func certifiedName(state tls.ConnectionState) string {
+	if len(state.PeerCertificates) == 0 || len(state.PeerCertificates[0].DNSNames) != 1 {
+		return ""
+	}
+	return state.PeerCertificates[0].DNSNames[0]
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,243 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quic-go/quic-go"
+	"gopkg.in/tomb.v2"
+
+	"github.com/masticspar/masticspar/internal/counter"
+	"github.com/masticspar/masticspar/internal/timer"
+)
+
+const (
+	deadline      = 2 * time.Second // Of each dial, handshake and stream exchange, and of a silent connection.
+	messageAge    = 2 * deadline    // Leaves time for a second dial after the first one ran into its deadline.
+	firstBackoff  = 100 * time.Millisecond
+	lastBackoff   = 5 * time.Second
+	watchPeriod   = 250 * time.Millisecond
+	reloadPeriod  = 5 * time.Second
+	defaultIdle   = 30 * time.Second
+	defaultRate   = 4 << 10
+	burstSeconds  = 5
+	defaultQueue  = 64
+	maxStreams    = 8 // Bounds the memory that one peer can fill with messages in transit.
+	maxOutStreams = 4
+)
+
+// Config is what a process sets before New; zero values select defaults where there are any.
+type Config struct {
+	// Name is the member name of this process; its certificate must be for this name.
+	Name string
+	// Listen is the control address.
+	Listen netip.AddrPort
+	// CA, Certificate and Key are paths of PEM files; they are read again when they change.
+	CA, Certificate, Key string
+	// Handle receives messages, from several goroutines at a time.
+	Handle func(m Message)
+	// Timer paces the check of the files; nil leaves it to Reload.
+	Timer *timer.Service
+	// BytesPerSecond is the byte budget of all links; zero selects 4 KB/s.
+	BytesPerSecond int
+	// Burst is what the budget holds at most; zero selects the bytes of 5 s.
+	Burst int
+	// Queue is the number of messages that wait for one peer; zero selects 64.
+	Queue int
+	// Idle closes a connection that is not used; zero selects 30 s.
+	Idle time.Duration
+	// Counters counts drops, refusals, retries and bytes; nil discards them.
+	Counters *counter.Set
+}
+
+// Peer names the receiver of a message. The name may be empty for an address from the settings or the platform.
+type Peer struct {
+	Name    string
+	Address netip.AddrPort
+}
+
+// Link holds the connections of a process to other members; New makes one.
+type Link struct {
+	Config
+
+	tb       tomb.Tomb
+	start    time.Time
+	budget   *budget
+	keys     atomic.Pointer[keys]
+	socket   *net.UDPConn
+	listener *quic.Listener
+
+	mu       sync.Mutex
+	closed   bool
+	sessions map[string]*session
+	conns    map[*connection]struct{}
+}
+
+// New returns a link that listens, and the function that closes it.
+func New(c Config) (*Link, func(), error) {
+	if c.BytesPerSecond == 0 {
+		c.BytesPerSecond = defaultRate
+	}
+	if c.Burst == 0 {
+		c.Burst = burstSeconds * c.BytesPerSecond
+	}
+	if c.Queue == 0 {
+		c.Queue = defaultQueue
+	}
+	if c.Idle == 0 {
+		c.Idle = defaultIdle
+	}
+	l := &Link{
+		Config: c, start: time.Now(), sessions: map[string]*session{}, conns: map[*connection]struct{}{},
+		budget: &budget{rate: float64(c.BytesPerSecond), burst: float64(c.Burst), tokens: float64(c.Burst)},
+	}
+	if err := l.Reload(); err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(c.Listen))
+	if err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	l.socket = udp
+	transport := l.transport(udp)
+	base := &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: []string{protocol}}
+	base.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		return l.config(l.keys.Load(), "", x509.ExtKeyUsageClientAuth), nil
+	}
+	if l.listener, err = transport.Listen(base, l.settings()); err != nil {
+		_ = udp.Close()
+		return nil, nil, errors.Trace(err)
+	}
+	cancel := func() {}
+	if c.Timer != nil {
+		cancel = c.Timer.Subscribe(reloadPeriod, func(time.Duration) { _ = l.Reload() })
+	}
+	l.tb.Go(func() error {
+		for {
+			c, err := l.listener.Accept(l.tb.Context(context.Background()))
+			if err != nil {
+				return nil
+			}
+			l.adopt(c, func() {})
+		}
+	})
+	l.tb.Go(func() error {
+		ticker := time.NewTicker(watchPeriod)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				l.watch()
+			case <-l.tb.Dying():
+				return nil
+			}
+		}
+	})
+	return l, func() {
+		cancel()
+		l.mu.Lock()
+		l.closed = true
+		l.mu.Unlock()
+		l.tb.Kill(nil)
+		l.closeAll()
+		_ = l.listener.Close()
+		_ = l.tb.Wait()
+		l.closeAll() // A dial may have ended meanwhile.
+		_ = transport.Close()
+		_ = udp.Close()
+	}, nil
+}
+
+// Address returns the address at which the link listens.
+func (l *Link) Address() netip.AddrPort { return l.socket.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// Reload reads the key files again; new connections use them, open ones stay. On an error the former keys stay.
+func (l *Link) Reload() error {
+	k, err := load(l.Config, l.keys.Load())
+	if err != nil {
+		l.Counters.Add("peer-refused-keys", 1)
+		return errors.Trace(err)
+	}
+	if l.keys.Swap(k) != k {
+		l.Counters.Add("peer-keys-loaded", 1)
+	}
+	return nil
+}
+
+// Send queues a message; From is filled in. Each drop is counted by reason.
+func (l *Link) Send(to Peer, m Message) {
+	m.From = l.Name
+	data, err := Encode(m)
+	if err != nil {
+		l.Counters.Add("peer-dropped-size", 1)
+		return
+	}
+	if !l.budget.take(time.Since(l.start), m.Kind, len(data)) {
+		if m.Kind == Hint {
+			l.Counters.Add("peer-dropped-budget-hint", 1)
+		} else {
+			l.Counters.Add("peer-dropped-budget-report", 1)
+		}
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		l.drop("closed", data)
+		return
+	}
+	s := l.session(to)
+	s.to = to
+	select {
+	case s.queue <- item{data: data, queued: time.Now()}:
+	default:
+		l.drop("queue-full", data)
+		return
+	}
+	if !s.running {
+		s.running = true
+		l.tb.Go(func() error { return l.run(s) })
+	}
+}
+
+// session returns the session of a peer; l.mu is held.
+func (l *Link) session(to Peer) *session {
+	key := to.Name
+	if key == "" {
+		key = "@" + to.Address.String() // No member name, as it is no DNS name.
+	}
+	s := l.sessions[key]
+	if s == nil {
+		s = &session{key: key, to: to, queue: make(chan item, l.Queue), adopted: make(chan struct{}, 1)}
+		l.sessions[key] = s
+	}
+	return s
+}
+
+func (l *Link) drop(reason string, data []byte) {
+	l.Counters.Add("peer-dropped-"+reason, 1)
+	l.budget.refund(len(data))
+}
+
+func (l *Link) transport(udp *net.UDPConn) *quic.Transport {
+	return &quic.Transport{Conn: &socket{UDPConn: udp, budget: l.budget, bytes: l.Counters.Counter("peer-bytes-sent")}}
+}
+
+func (l *Link) settings() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:    deadline / 2, // quic-go allows a handshake twice this time.
+		MaxIdleTimeout:          l.Idle,
+		MaxIncomingStreams:      -1,
+		MaxIncomingUniStreams:   maxStreams,
+		EnableDatagrams:         true,
+		InitialPacketSize:       1200,
+		DisablePathMTUDiscovery: true, // Its probes would be a good part of the bytes of a short connection.
+	}
+}
--- /dev/null
+++ b/internal/peer/session.go
@@ -0,0 +1,165 @@
+package peer
+
+import (
+	"context"
+	"crypto/x509"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quic-go/quic-go"
+)
+
+// session is the queue and the connection of one peer; the mutex of the link guards its fields.
+type session struct {
+	key     string
+	to      Peer
+	queue   chan item
+	adopted chan struct{} // Receives when a connection was accepted.
+	running bool
+	conn    *connection
+	backoff time.Duration // Before the next dial; zero after a message was received.
+}
+
+type item struct {
+	data   []byte
+	queued time.Time
+}
+
+// run sends what is queued until nothing was queued for the idle time.
+func (l *Link) run(s *session) error {
+	idle := time.NewTimer(l.Idle)
+	defer idle.Stop()
+	for {
+		select {
+		case it := <-s.queue:
+			l.deliver(s, it)
+			idle.Reset(l.Idle)
+		case <-idle.C:
+			l.mu.Lock()
+			if len(s.queue) == 0 {
+				s.running = false
+				l.tidy(s)
+				l.mu.Unlock()
+				return nil
+			}
+			l.mu.Unlock()
+			idle.Reset(l.Idle)
+		case <-l.tb.Dying():
+			return nil
+		}
+	}
+}
+
+// tidy forgets a session that holds nothing; l.mu is held.
+func (l *Link) tidy(s *session) {
+	if !s.running && s.conn == nil {
+		delete(l.sessions, s.key)
+	}
+}
+
+// deliver sends one message, on a new connection if necessary, until it is too old to be of use.
+func (l *Link) deliver(s *session, it item) {
+	for l.tb.Alive() {
+		if time.Since(it.queued) > messageAge {
+			l.drop("expired", it.data)
+			return
+		}
+		l.mu.Lock()
+		c, to, backoff := s.conn, s.to, s.backoff
+		l.mu.Unlock()
+		if c != nil {
+			if l.write(c, it.data) == nil {
+				return
+			}
+			l.Counters.Add("peer-retry-write", 1)
+			l.end(c, "write failed")
+			continue
+		}
+		if backoff > 0 {
+			select {
+			case <-time.After(backoff/2 + rand.N(backoff)):
+			case <-s.adopted:
+				continue
+			case <-l.tb.Dying():
+				return
+			}
+		}
+		l.mu.Lock()
+		s.backoff = min(max(2*s.backoff, firstBackoff), lastBackoff)
+		l.mu.Unlock()
+		if err := l.dial(to); err != nil {
+			l.Counters.Add("peer-retry-dial", 1)
+		}
+	}
+}
+
+// dial opens a connection from a new local port.
+func (l *Link) dial(to Peer) error {
+	l.Counters.Add("peer-dials", 1)
+	local := net.UDPAddrFromAddrPort(l.Listen)
+	local.Port = 0
+	udp, err := net.ListenUDP("udp", local)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	transport := l.transport(udp)
+	release := func() {
+		_ = transport.Close()
+		_ = udp.Close()
+	}
+	ctx, cancel := context.WithTimeout(l.tb.Context(context.Background()), deadline)
+	defer cancel()
+	settings := l.config(l.keys.Load(), to.Name, x509.ExtKeyUsageServerAuth)
+	c, err := transport.Dial(ctx, net.UDPAddrFromAddrPort(to.Address), settings, l.settings())
+	if err != nil {
+		release()
+		return errors.Trace(err)
+	}
+	l.adoptDialled(c, to, release)
+	return nil
+}
+
+// write sends data as a datagram, or on a stream of its own if it is too large for that.
+func (l *Link) write(c *connection, data []byte) error {
+	if len(data) <= maxDatagram {
+		err := c.SendDatagram(data)
+		var tooLarge *quic.DatagramTooLargeError
+		if err == nil || !errors.As(err, &tooLarge) {
+			return errors.Trace(err)
+		}
+	}
+	select {
+	case c.streams <- struct{}{}:
+	default:
+		l.drop("streams-busy", data)
+		return nil
+	}
+	// A long transfer must not hold up the pings behind it.
+	l.tb.Go(func() error {
+		defer func() { <-c.streams }()
+		if err := stream(c, data); err != nil {
+			l.drop("stream", data)
+		}
+		return nil
+	})
+	return nil
+}
+
+func stream(c *connection, data []byte) error {
+	ctx, cancel := context.WithTimeout(c.Context(), deadline)
+	defer cancel()
+	s, err := c.OpenUniStreamSync(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := s.SetWriteDeadline(time.Now().Add(deadline)); err != nil {
+		return errors.Trace(err)
+	}
+	if _, err := s.Write(data); err != nil {
+		s.CancelWrite(0)
+		return errors.Trace(err)
+	}
+	return errors.Trace(s.Close())
+}
