--- a/cmd/demo/site.go
+++ b/cmd/demo/site.go
@@ -71,7 +71,7 @@
 
 func (s *site) start() error {
 	s.entries = map[int]*process{}
-	ca, err := authority.New(s.directory)
+	ca, err := authority.New()
 	if err != nil {
 		return err
 	}
@@ -94,7 +94,7 @@
 		}
 	}
 	for _, i := range []int{1, 2, 3, 4} {
-		if err := ca.Issue(entryName(i)); err != nil {
+		if err := ca.Write(s.directory, entryName(i)); err != nil {
 			return err
 		}
 		if err := s.writeSettings(i); err != nil {
@@ -136,9 +136,8 @@
 		}
 	}
 	v.Platform = "http://" + platformAddress
-	v.CAFile = filepath.Join(s.directory, "ca.pem")
-	v.CertificateFile = filepath.Join(s.directory, entryName(i)+".pem")
-	v.KeyFile = filepath.Join(s.directory, entryName(i)+".key")
+	files := authority.PathsIn(s.directory, v.Name)
+	v.CAFile, v.CertificateFile, v.KeyFile = files.CA, files.Certificate, files.Key
 	b, err := json.MarshalIndent(v, "", "  ")
 	if err != nil {
 		return errors.Trace(err)
--- a/cmd/masticspard/link.go
+++ b/cmd/masticspard/link.go
@@ -10,24 +10,40 @@
 	"github.com/masticspar/masticspar/internal/peer"
 )
 
+// linkKinds gives each kind of message the kind by which the link decides what to drop first.
+var linkKinds = map[entry.Kind]peer.Kind{
+	entry.Membership:    peer.Membership,
+	entry.Configuration: peer.Document,
+	entry.Report:        peer.Report,
+	entry.Hint:          peer.Hint,
+}
+
+var engineKinds = func() map[peer.Kind]entry.Kind {
+	m := map[peer.Kind]entry.Kind{}
+	for engine, link := range linkKinds {
+		m[link] = engine
+	}
+	return m
+}()
+
 func (d *daemon) startLink() (func(), error) {
 	var stop func()
 	var err error
 	d.link, stop, err = peer.New(peer.Config{
-		Address: d.settings.ControlAddress,
-		CAFile:  d.settings.CAFile, CertificateFile: d.settings.CertificateFile, KeyFile: d.settings.KeyFile,
-		Counters: d.counters,
-		Handle:   d.receive,
+		Name: d.settings.Name, Listen: d.settings.ControlAddress,
+		CA: d.settings.CAFile, Certificate: d.settings.CertificateFile, Key: d.settings.KeyFile,
+		Timer: d.timer, BytesPerSecond: d.settings.ControlBytesPerSecond,
+		Counters: d.counters, Handle: d.receive,
 	})
 	return stop, err
 }
 
 // receive handles a message of a peer whose name the link has verified.
-func (d *daemon) receive(from string, message peer.Message) {
-	m, err := entry.Decode(from, entry.Kind(message.Kind), message.Body)
+func (d *daemon) receive(message peer.Message) {
+	m, err := entry.Decode(message.From, engineKinds[message.Kind], message.Body)
 	if err != nil {
 		d.counters.Add("messages-refused", 1)
-		d.log.Warn("message-refused", zap.String("from", from), zap.Error(err))
+		d.log.Warn("message-refused", zap.String("from", message.From), zap.Error(err))
 		return
 	}
 	d.timer.Check()
@@ -43,5 +59,5 @@
 		d.counters.Add("dropped-message-no-address", 1)
 		return
 	}
-	d.link.Send(to.Control, peer.Message{Kind: uint8(kind), Body: body})
+	d.link.Send(peer.Peer{Name: to.Name, Address: to.Control}, peer.Message{Kind: linkKinds[kind], Body: body})
 }
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -165,7 +165,7 @@
 		return h, reason
 	}
 	// The model avoids only the last host that was tried; with several silent ones it often returns one of the others.
-	for _, h := range e.model.Rank(now, s, k, nil) {
+	for _, h := range e.model.Rank(s, k, nil) {
 		if !h.Leaving && !slices.Contains(avoid, h.ID) {
 			return h, ""
 		}
--- a/internal/entry/engine_test.go
+++ b/internal/entry/engine_test.go
@@ -12,7 +12,7 @@
 	"github.com/masticspar/masticspar/internal/packet"
 )
 
-const document = `{"version": 1, "availability-zones": ["a"],
+const inventoryText = `{"version": 1, "availability-zones": ["a"],
 "services": [{"name": "standdesk", "protocol": "tcp", "addresses": ["10.9.0.1:443"], "owner-group": 8}],
 "hosts": [
 {"name": "host-0", "service": "standdesk", "availability-zone": "a", "address": "10.1.0.1:6081", "weight": 1},
@@ -29,7 +29,7 @@
 	}
 	e.Start(0)
 	e.Tick(4 * time.Second)
-	is.True(e.Document(4*time.Second, fleet.Prepare(fleet.Inventory, "platform", []byte(document))))
+	is.True(e.Document(4*time.Second, fleet.Prepare(fleet.Inventory, "platform", []byte(inventoryText))))
 	s := e.picture.Services()[0]
 	for port := range uint16(100) {
 		k := packet.NewKey(packet.TCP, netip.AddrPortFrom(netip.MustParseAddr("192.0.2.1"), 4000+port), s.Addresses[0])
