--- /dev/null
+++ b/internal/entry/failure_test.go
@@ -0,0 +1,293 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/standin/caller"
+	"github.com/masticspar/masticspar/internal/standin/site"
+)
+
+const minute = 60 * time.Second
+
+// Guards against flows that end with the entry VM that owned them.
+func TestEntryVMKilled(t *testing.T) {
+	t.Parallel()
+	s := start(101, minute)
+	s.VM("entry-3").Kill()
+	s.Run(30 * time.Second)
+	finish(t, s, nil)
+}
+
+// Guards against flows cut by a rolling replacement of entry VMs.
+func TestEntryVMReplacedAsPlanned(t *testing.T) {
+	t.Parallel()
+	s := start(102, minute)
+	for _, name := range []string{"entry-2", "entry-6"} {
+		replace(s, name)
+		s.Run(10 * time.Second)
+	}
+	inForce(t, s)
+	finish(t, s, nil)
+}
+
+// Guards against new flows on leaving hosts through an entry VM that has just joined.
+func TestEntryVMJoinsWhileHostsLeave(t *testing.T) {
+	t.Parallel()
+	s := start(103, minute)
+	hosts := []string{"standdesk-1", "standdesk-5", "photointake-2"}
+	s.After(500*time.Millisecond, func() { leave(s, hosts...) })
+	published := s.Now + 500*time.Millisecond
+	s.Join(site.Entry{Name: "entry-8", Zone: "wa-north", Size: 4})
+	s.Run(20 * time.Second)
+	inForce(t, s)
+	finish(t, s, nil)
+	noNewFlow(t, s, published, hosts...)
+}
+
+// Guards against a resumed process that acts on the view from before its pause: it must not send new flows to hosts that
+// left meanwhile, nor payload to hosts that it only remembers.
+func TestEntryVMPaused(t *testing.T) {
+	for i, pause := range []time.Duration{2 * time.Second, 20 * time.Second, 200 * time.Second} {
+		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
+			s := start(104+uint64(i), pause+minute)
+			v := s.VM("entry-4")
+			v.Pause()
+			hosts := []string{"standdesk-0", "standdesk-3", "standdesk-7", "photointake-1"}
+			s.Run(pause / 4)
+			published := s.Now
+			leave(s, hosts...)
+			s.Run(pause - pause/4)
+			v.Wake()
+			s.Run(20 * time.Second)
+			inForce(t, s)
+			finish(t, s, nil)
+			noNewFlow(t, s, max(published, published+pause-pause/4-leaveBound), hosts...)
+		})
+	}
+}
+
+// zoneLoad describes callers outside of the zones and in two of them. The fabric sprays the packets of the outer ones
+// over both sides of a partition, so that of a flow with a host on the small side three packets of four are lost. These
+// callers need the patience of ordinary TCP stacks, which outlasts ten minutes.
+func zoneLoad(length time.Duration, zones ...string) []site.Callers {
+	var list []site.Callers
+	for _, zone := range append([]string{""}, zones...) {
+		for _, g := range load(length) {
+			if g.Zone = zone; zone == "" {
+				g.Plan.Timeout = 15 * minute
+			}
+			if g.Plan.Total == 0 {
+				g.Plan.Rate = 1.5
+			}
+			list = append(list, g)
+		}
+	}
+	return list
+}
+
+// apart says that the caller and the host of a broken flow were on different sides of a partition, so that no entry VM
+// reached both.
+func apart(s *site.Site, b site.Broken, zone string) bool {
+	from := s.Config.Callers[b.Key.Source[13]-64].Zone
+	return b.Host != "" && from != "" && (from == zone) != (s.Host(b.Host).Zone == zone)
+}
+
+// Guards against flows cut by a partition or by its end: both sides serve callers for ten minutes.
+func TestZoneCutOff(t *testing.T) {
+	t.Parallel()
+	const zone = "wa-north"
+	c := site.QuokkaLane(107)
+	c.MaxRetries = 100
+	callers := zoneLoad(11*minute, "wa-perth", zone)
+	// Entry VMs earn their retry budget from new flows, 3,000 a second in production.
+	callers = append(callers, site.Callers{
+		Services: []string{"standdesk"}, Plan: caller.Plan{Rate: 200, Total: 2400, Bytes: 10},
+	})
+	s := run(c, callers)
+	s.Isolate(zone)
+	s.Run(5 * minute)
+	leave(s, "standdesk-0")
+	s.Run(5 * minute)
+	for _, h := range s.Hosts {
+		if h.Name != "standdesk-0" && s.Now-h.LastNew > 2*minute {
+			t.Errorf("%s in %s got no new flow in the last two minutes of the partition", h.Name, h.Zone)
+		}
+	}
+	s.Heal()
+	s.Run(forceBound)
+	inForce(t, s)
+	finish(t, s, func(b site.Broken) bool { return apart(s, b, zone) })
+}
+
+// Guards against callers that cannot connect in a zone that is cut off soon after the start of its entry VMs, when they
+// have earned few retries.
+func TestZoneCutOffSoonAfterStart(t *testing.T) {
+	t.Parallel()
+	const zone = "wa-north"
+	s := run(site.QuokkaLane(207), zoneLoad(2*minute, zone))
+	s.Isolate(zone)
+	s.Run(minute)
+	s.Heal()
+	finish(t, s, func(b site.Broken) bool { return apart(s, b, zone) || s.Config.Callers[b.Key.Source[13]-64].Zone == "" })
+}
+
+// Guards against processes that need the platform once they have documents.
+func TestPlatformDown(t *testing.T) {
+	t.Parallel()
+	s := start(108, minute)
+	s.Platform.Down = true
+	s.VM("entry-1").Kill()
+	s.Run(10 * time.Second)
+	s.Join(s.VM("entry-1").Entry)
+	s.Run(10 * time.Second)
+	inForce(t, s)
+	if !s.VM("entry-1").Engine.Ready() {
+		t.Error("a process that joined without the platform is not ready")
+	}
+	finish(t, s, nil)
+}
+
+// Guards against an update that waits for a slow platform in a process that could have it from a peer.
+func TestPlatformSlow(t *testing.T) {
+	t.Parallel()
+	s := start(109, minute)
+	s.Platform.Delay = 20 * time.Second
+	s.After(500*time.Millisecond, func() { s.Platform.Delay = 20 * time.Second })
+	leave(s, "standdesk-2")
+	published := s.Now + s.Platform.Delay // The platform publishes when it first answers.
+	s.Run(s.Platform.Delay + forceBound)
+	inForce(t, s)
+	finish(t, s, nil)
+	noNewFlow(t, s, published, "standdesk-2")
+}
+
+// Guards against a fresh process that goes back to an old copy of the platform.
+func TestPlatformServesOldCopyToFreshProcess(t *testing.T) {
+	t.Parallel()
+	s := start(110, minute)
+	published := s.Now
+	leave(s, "standdesk-4", "photointake-0")
+	s.Run(forceBound)
+	s.Platform.Old = 1
+	replace(s, "entry-0")
+	s.Run(10 * time.Second)
+	inForce(t, s)
+	finish(t, s, nil)
+	noNewFlow(t, s, published, "standdesk-4", "photointake-0")
+}
+
+// Guards against an update that only reaches the processes that the platform answers.
+func TestUpdateReachesHalf(t *testing.T) {
+	t.Parallel()
+	s := start(111, minute)
+	s.Platform.Only = map[string]bool{"entry-0": true, "entry-3": true, "entry-5": true, "entry-6": true}
+	published := s.Now
+	leave(s, "standdesk-6", "photointake-3")
+	s.Run(forceBound)
+	inForce(t, s)
+	s.Run(10 * time.Second)
+	finish(t, s, nil)
+	noNewFlow(t, s, published, "standdesk-6", "photointake-3")
+}
+
+// Guards against two planned changes and a death that each alone do no harm.
+func TestKillDuringDrainAndLeave(t *testing.T) {
+	t.Parallel()
+	s := start(112, minute)
+	published := s.Now
+	leave(s, "standdesk-8", "standdesk-9")
+	s.VM("entry-1").Drain()
+	s.Run(500 * time.Millisecond)
+	s.VM("entry-6").Kill()
+	s.Run(30 * time.Second)
+	finish(t, s, nil)
+	noNewFlow(t, s, published, "standdesk-8", "standdesk-9")
+}
+
+// Guards against state that the first of two equal faults leaves behind.
+func TestSameFaultTwice(t *testing.T) {
+	t.Parallel()
+	s := start(113, 2*minute)
+	for range 2 {
+		s.VM("entry-2").Kill()
+		s.Run(time.Second)
+		s.VM("entry-5").Pause()
+		s.Run(20 * time.Second)
+		s.VM("entry-5").Wake()
+		s.Join(s.VM("entry-2").Entry)
+		s.Run(20 * time.Second)
+	}
+	finish(t, s, nil)
+}
+
+// Guards against flows and messages that stay on a path that loses everything while new ones work.
+func TestSilentPaths(t *testing.T) {
+	t.Parallel()
+	s := start(114, minute)
+	for i, v := range s.VMs {
+		peer := s.VMs[(i+1)%len(s.VMs)]
+		s.Silent[s.LinkPath(v, peer)] = true
+		for _, h := range s.Hosts {
+			s.Silent[path(v, 20000+uint16(i), h.Address)] = true
+		}
+		s.Silent[path(v, 20003, netip.AddrPortFrom(peer.Address, 7001))] = true
+		s.Silent[site.Path{From: s.Hosts[i].Address, To: netip.AddrPortFrom(v.Address, 6081)}] = true
+	}
+	s.Run(minute)
+	for _, v := range s.VMs {
+		if n := v.Counters.Values()["member-dead"]; n > 0 {
+			t.Errorf("%s declared %d live members dead", v.Name, n)
+		}
+	}
+	finish(t, s, nil)
+}
+
+func path(v *site.VM, port uint16, to netip.AddrPort) site.Path {
+	return site.Path{From: netip.AddrPortFrom(v.Address, port), To: to}
+}
+
+// Guards against new flows on a leaving host, and against a shutdown that cuts the flows that are open on it.
+func TestHostLeaves(t *testing.T) {
+	t.Parallel()
+	s := start(115, minute)
+	published := s.Now
+	hosts := []string{"standdesk-10", "standdesk-11", "photointake-1"}
+	leave(s, hosts...)
+	s.Run(forceBound)
+	for _, name := range hosts {
+		s.Host(name).Stopping = true
+	}
+	finish(t, s, nil)
+	noNewFlow(t, s, published, hosts...)
+	for _, name := range hosts {
+		if s.Host(name).Mode.Kind != "dead" {
+			t.Errorf("%s did not stop although its flows ended", name)
+		}
+	}
+}
+
+// Guards against documents that are late or lost under message loss.
+func TestDocumentInForceWithinBound(t *testing.T) {
+	t.Parallel()
+	s := start(116, minute)
+	s.MessageLoss = 0.1
+	for i := range 6 {
+		s.Platform.Only = map[string]bool{fmt.Sprintf("entry-%d", i): true}
+		if i%2 == 0 {
+			s.PublishInventory()
+		} else {
+			s.PublishRules()
+		}
+		s.Run(forceBound)
+		inForce(t, s)
+	}
+	finish(t, s, nil)
+	if v := s.VM("entry-0").Engine.Version(fleet.Inventory); v != 4 {
+		t.Errorf("inventory version %d in force at the end, want 4", v)
+	}
+}
--- /dev/null
+++ b/internal/entry/site_test.go
@@ -0,0 +1,135 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/standin/caller"
+	"github.com/masticspar/masticspar/internal/standin/site"
+)
+
+const (
+	controlLimit = 4096            // bytes per second of one entry VM
+	leaveBound   = 3 * time.Second // after which a leaving host gets no new flow
+	forceBound   = 6 * time.Second // in which a document has to be in force everywhere
+	groupShort   = 0
+	groupFeeds   = 1
+	groupIdle    = 2
+)
+
+// load describes short requests, feeds that last for length, and flows that are idle for most of it.
+func load(length time.Duration) []site.Callers {
+	services := []string{"standdesk", "photointake"}
+	return []site.Callers{
+		groupShort: {Services: services, Plan: caller.Plan{Rate: 5, Bytes: 3000}},
+		groupFeeds: {Services: services, Plan: caller.Plan{
+			Rate: 3, Total: 25, FeedShare: 1, FeedCount: int(length / time.Second), FeedInterval: time.Second,
+		}},
+		groupIdle: {Services: services, Plan: caller.Plan{
+			Rate: 3, Total: 25, Bytes: 2000, Exchanges: 5, ExchangeInterval: length / 4,
+		}},
+	}
+}
+
+// start returns a site that has run for 12 s, so that all feeds and idle flows are open.
+func start(seed uint64, length time.Duration) *site.Site {
+	return run(site.QuokkaLane(seed), load(length))
+}
+
+func run(c site.Config, callers []site.Callers) *site.Site {
+	c.Tick = 50 * time.Millisecond // The race detector makes each tick expensive.
+	c.Callers = callers
+	s := site.New(c)
+	s.Run(12 * time.Second)
+	return s
+}
+
+// finish ends the load and checks what has to hold at the end of each run; counted says which broken flows are counted
+// separately, nil none.
+func finish(t *testing.T, s *site.Site, counted func(site.Broken) bool) {
+	t.Helper()
+	for _, c := range s.Callers {
+		if c.Plan.Total == 0 {
+			c.Plan.Rate = 0
+		}
+	}
+	for range 40 {
+		open := 0
+		for _, c := range s.Callers {
+			open += c.Report().Open
+		}
+		if open == 0 {
+			break
+		}
+		s.Run(5 * time.Second)
+	}
+	for i, c := range s.Callers {
+		r := c.Report()
+		t.Logf("group=%d opened=%d whole=%d refused=%d open=%d broken=%v retransmissions=%d", i, r.Opened, r.Whole, r.Refused,
+			r.Open, r.Broken, r.Retransmissions)
+		if r.Open > 0 || r.Refused*20 > r.Opened {
+			t.Errorf("group %d: %d flows without an end and %d of %d refused", i, r.Open, r.Refused, r.Opened)
+		}
+	}
+	for _, b := range s.Broken {
+		if counted == nil || !counted(b) {
+			t.Errorf("broken flow: %+v", b)
+		}
+	}
+	safe(t, s)
+	for _, v := range s.VMs {
+		if rate := v.ControlRate(); rate > controlLimit {
+			t.Errorf("%s sent %.0f bytes/s of messages, more than %d: %v", v.Name, rate, controlLimit, v.MessageBytes)
+		}
+	}
+}
+
+// safe reports the violations of the safety list.
+func safe(t testing.TB, s *site.Site) {
+	t.Helper()
+	for _, v := range s.Violations {
+		t.Errorf("violation: %s", v)
+	}
+}
+
+// leave publishes that hosts leave.
+func leave(s *site.Site, hosts ...string) {
+	s.Rules.Leaving = append(s.Rules.Leaving, hosts...)
+	s.PublishRules()
+}
+
+// noNewFlow checks that no host got a new flow later than the bound after the publication at the given time.
+func noNewFlow(t *testing.T, s *site.Site, published time.Duration, hosts ...string) {
+	t.Helper()
+	for _, name := range hosts {
+		if last := s.Host(name).LastNew; last > published+leaveBound {
+			t.Errorf("%s got a new flow %v after it was published as leaving", name, last-published)
+		}
+	}
+}
+
+// inForce checks that each live process has the last published documents in force.
+func inForce(t *testing.T, s *site.Site) {
+	t.Helper()
+	for _, v := range s.VMs {
+		if v.Dead {
+			continue
+		}
+		if i, r := v.Engine.Version(fleet.Inventory), v.Engine.Version(fleet.Rules); i != s.Inventory.Version || r != s.Rules.Version {
+			t.Errorf("%s has inventory %d and rules %d in force at %v, not %d and %d", v.Name, i, r, s.Now, s.Inventory.Version,
+				s.Rules.Version)
+		}
+	}
+}
+
+// replace drains a process and starts its successor with the same name and address.
+func replace(s *site.Site, name string) {
+	old := s.VM(name)
+	old.Drain()
+	for !old.Dead {
+		s.Run(100 * time.Millisecond)
+	}
+	s.Run(time.Second)
+	s.Join(old.Entry)
+}
