Decide about packets in batches and prefetch their pins

Cause: with 500,000 open flows the cache misses on the index and the pin of each packet took half of the time, and the key was hashed up to three times in the engine. Ruled out: a queue of whole packet.Packet views, which are 1,248 bytes each and fall out of the first-level cache. Change: Engine.Queue reads a datagram, forwards it at once or keeps it; Engine.Decide prefetches the pins of the kept packets and decides. Datagram is both for one packet. The daemon uses a queue for each batch of a socket. The hash of the caller's direction is computed once in the engine. BenchmarkDatagram uses batches and times the engine alone.

--- a/cmd/masticspard/daemon.go
+++ b/cmd/masticspard/daemon.go
@@ -102,8 +102,9 @@
 		}
 		now := d.timer.Now()
 		for i := range batch {
-			d.engine.Datagram(now, batch[i].Source, fromPeer, batch[i].Bytes)
+			d.engine.Queue(now, batch[i].Source, fromPeer, batch[i].Bytes)
 		}
+		d.engine.Decide(now)
 		d.flush()
 	}
 }
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -4,7 +4,9 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,6 +22,7 @@
 const (
 	pathVMs      = 8
 	pathCapacity = 600_000
+	pathBatch    = 64 // datagrams that a socket delivers at once
 	callerISN    = 1000
 	hostISN      = 5000
 	// Offsets in a datagram without Geneve options that holds IPv4 without options.
@@ -217,28 +220,45 @@
 	}
 }
 
-// BenchmarkDatagram decides about and rewrites packets of established flows in random order.
+// BenchmarkDatagram decides about and rewrites packets of established flows, spread over all of them and in batches as
+// the sockets deliver them.
 func BenchmarkDatagram(b *testing.B) {
 	p := newPath(b)
 	for _, n := range []int{1, 10_000, 500_000} {
 		p.fill(n)
 		for _, c := range []struct {
 			name     string
-			response bool
-		}{{"caller", false}, {"return", true}} {
+			template []byte
+		}{{"caller", p.request}, {"return", p.response}} {
 			b.Run(fmt.Sprintf("%s/%d", c.name, n), func(b *testing.B) {
+				var batch [pathBatch][]byte
+				var sources [pathBatch]netip.AddrPort
+				for i := range batch {
+					batch[i] = slices.Clone(c.template)
+				}
 				b.ReportAllocs()
 				i, sent := 0, p.toHost+p.toCaller
-				for b.Loop() {
-					i = (i + 7919) % n // A prime step spreads the packets over the whole table.
-					f := &p.flows[i]
-					if c.response {
-						p.engine.Datagram(p.now, f.source(), false, f.address(p.response))
-					} else {
-						p.engine.Datagram(p.now, pathFabric, false, f.address(p.request))
+				var elapsed time.Duration // without the work of writing the datagrams
+				b.ResetTimer()
+				for done := 0; done < b.N; done += pathBatch {
+					for j := range batch {
+						i = (i + 7919) % n // A prime step spreads the packets over the whole table.
+						f := &p.flows[i]
+						f.address(batch[j])
+						sources[j] = pathFabric
+						if c.template[6] == geneve.ToCaller {
+							sources[j] = f.source()
+						}
+					}
+					started := time.Now()
+					for j := range min(pathBatch, b.N-done) {
+						p.engine.Queue(p.now, sources[j], false, batch[j])
 					}
+					p.engine.Decide(p.now)
+					elapsed += time.Since(started)
 				}
-				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "packets/s")
+				b.ReportMetric(float64(elapsed)/float64(b.N), "ns/packet")
+				b.ReportMetric(float64(b.N)/elapsed.Seconds(), "packets/s")
 				if p.toHost+p.toCaller-sent != b.N {
 					b.Fatalf("%d of %d packets sent on: %v", p.toHost+p.toCaller-sent, b.N, p.engine.Counters.Values())
 				}
@@ -286,3 +306,38 @@
 		b.Fatalf("%d flows open", n)
 	}
 }
+
+// Guards against a batch that is decided in another way than its packets one by one, or in another order.
+func TestQueueEqualsDatagram(t *testing.T) {
+	single, batch := newPath(t), newPath(t)
+	var sent [2][]string
+	for i, p := range []*path{single, batch} {
+		record := func(to any, b []byte, hash uint64) { sent[i] = append(sent[i], fmt.Sprintf("%v %d %x", to, hash, b)) }
+		p.fill(40)
+		p.engine.ToFabric = func(b []byte, hash uint64) { record("fabric", b, hash) }
+		p.engine.ToHost = func(to netip.AddrPort, b []byte, hash uint64) { record(to, b, hash) }
+		p.engine.ToPeer = func(netip.AddrPort, []byte, uint64) {}
+	}
+	fresh := single.unused(true)
+	templates := [][]byte{single.request, single.response, single.syn, single.synACK, single.request[:20]}
+	for n := range 5 * queueSize / 2 {
+		f := &single.flows[n%len(single.flows)]
+		if n%9 == 0 {
+			fresh.host = f.host
+			f = &fresh
+		}
+		datagram := slices.Clone(templates[n%len(templates)])
+		if len(datagram) > 20 {
+			f.address(datagram)
+		}
+		single.engine.Datagram(single.now, f.source(), false, datagram)
+		batch.engine.Queue(batch.now, f.source(), false, datagram)
+	}
+	batch.engine.Decide(batch.now)
+	if len(sent[0]) == 0 || !slices.Equal(sent[0], sent[1]) {
+		t.Errorf("%d datagrams sent one by one differ from %d in batches", len(sent[0]), len(sent[1]))
+	}
+	if a, b := single.engine.Counters.Values(), batch.engine.Counters.Values(); !maps.Equal(a, b) {
+		t.Errorf("counters differ: %v and %v", a, b)
+	}
+}
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -11,6 +11,7 @@
 	"github.com/masticspar/masticspar/internal/fleet"
 	"github.com/masticspar/masticspar/internal/flow"
 	"github.com/masticspar/masticspar/internal/geneve"
+	"github.com/masticspar/masticspar/internal/member"
 	"github.com/masticspar/masticspar/internal/packet"
 )
 
@@ -29,37 +30,97 @@
 
 // Datagram handles one datagram; source is its outer source and fromPeer says that it came in at the data address.
 func (e *Engine) Datagram(now time.Duration, source netip.AddrPort, fromPeer bool, datagram []byte) {
+	e.Queue(now, source, fromPeer, datagram)
+	e.Decide(now)
+}
+
+// Queue is Datagram for one of several datagrams. A packet of a flow that this entry VM owns waits for the next Decide,
+// or until the queue is full; the bytes of the datagram must not change before. With many open flows this is faster than
+// Datagram, because the pins of the waiting packets are brought into the cache of the CPU together.
+func (e *Engine) Queue(now time.Duration, source netip.AddrPort, fromPeer bool, datagram []byte) {
 	e.now = now
-	inner, err := e.codec.Decode(datagram)
-	if err != nil {
-		e.drop(reasonForeign)
+	w := e.queue.next()
+	if reason := e.read(w, source, fromPeer, datagram); reason != "" {
+		e.drop(reason)
 		return
 	}
-	if fromPeer != (e.codec.Hops > 0) || fromPeer && !e.isPeer(source.Addr()) {
-		e.drop(reasonForeign)
-		return
+	owner, _, own := e.groups.ownerOf(w.service.ID, w.hash)
+	switch {
+	case own || e.codec.Hops >= maxHops:
+		e.queue.keep()
+		if e.queue.full() {
+			e.Decide(now)
+		}
+	case owner == nil:
+		e.drop(reasonNoOwner)
+	default:
+		e.forward(w, owner)
 	}
-	if e.codec.Hops > maxHops {
-		e.drop(reasonHopLimit)
-		return
+}
+
+// Decide decides about the queued packets in the order in which they came.
+func (e *Engine) Decide(now time.Duration) {
+	e.now = now
+	keys := e.queue.take()
+	if len(keys) > 1 {
+		e.flows.Prefetch(keys)
+	}
+	for i := range keys {
+		w := e.queue.at(i)
+		w.load(&e.view, &keys[i])
+		e.hash = w.hash
+		if w.host == nil {
+			e.apply(w, e.flows.FromCaller(now, w.service, &e.view))
+		} else {
+			e.apply(w, e.flows.FromHost(now, w.service, w.host, &e.view))
+		}
 	}
-	if e.stale {
-		e.drop(reasonStaleView)
-		return
+}
+
+// read fills w from a datagram, or returns why the datagram is dropped.
+func (e *Engine) read(w *waiting, source netip.AddrPort, fromPeer bool, datagram []byte) string {
+	inner, err := e.codec.Decode(datagram)
+	switch {
+	case err != nil, fromPeer != (e.codec.Hops > 0), fromPeer && !e.isPeer(source.Addr()):
+		return reasonForeign
+	case e.codec.Hops > maxHops:
+		return reasonHopLimit
+	case e.stale:
+		return reasonStaleView
 	}
 	if err := e.view.Parse(inner); err != nil {
-		e.drop(parseReason(err))
-		return
+		return parseReason(err)
 	}
+	key := e.queue.key()
 	if e.codec.Direction == geneve.ToService {
-		e.fromCaller(now, inner)
-		return
-	}
-	host := source.Addr()
-	if fromPeer {
-		host = e.codec.Host
+		*key = e.view.Key
+		w.address, w.host, w.service = netip.Addr{}, nil, e.picture.Lookup(key)
+		if w.service == nil {
+			return reasonNoService
+		}
+	} else {
+		*key = e.view.Key.Reverse()
+		w.address = source.Addr()
+		if fromPeer {
+			w.address = e.codec.Host
+		}
+		var of *fleet.Service
+		w.service = e.picture.Lookup(key)
+		of, w.host = e.picture.HostAt(w.address)
+		if w.service == nil || w.host == nil || of.ID != w.service.ID {
+			return reasonForeign
+		}
 	}
-	e.fromHost(now, host, inner)
+	w.hash = key.Hash()
+	w.save(&e.view)
+	return ""
+}
+
+// forward passes the packet to the owner of its flow.
+func (e *Engine) forward(w *waiting, owner *member.Member) {
+	e.out = geneve.Append(e.out[:0], w.bytes, e.codec.Direction, e.codec.Hops+1, w.address)
+	e.ToPeer(owner.Data, e.out, w.hash)
+	e.count("forwarded-to-owner")
 }
 
 func parseReason(err error) string {
@@ -71,56 +132,13 @@
 	return reasonForeign
 }
 
-func (e *Engine) fromCaller(now time.Duration, inner []byte) {
-	k := e.view.Key
-	s := e.picture.Lookup(&k)
-	if s == nil {
-		e.drop(reasonNoService)
-		return
-	}
-	if !e.ownOrForward(s, &k, inner, netip.Addr{}) {
-		return
-	}
-	e.apply(e.flows.FromCaller(now, s, &e.view), inner, &k)
-}
-
-func (e *Engine) fromHost(now time.Duration, address netip.Addr, inner []byte) {
-	k := e.view.Key.Reverse()
-	s := e.picture.Lookup(&k)
-	hs, h := e.picture.HostAt(address)
-	if s == nil || h == nil || hs.ID != s.ID {
-		e.drop(reasonForeign)
-		return
-	}
-	if !e.ownOrForward(s, &k, inner, address) {
-		return
-	}
-	e.apply(e.flows.FromHost(now, s, h, &e.view), inner, &k)
-}
-
-// ownOrForward reports whether this entry VM decides about the packet; if not, it was passed to the owner.
-func (e *Engine) ownOrForward(s *fleet.Service, k *packet.Key, inner []byte, host netip.Addr) bool {
-	owner, _, own := e.groups.owner(s.ID, k)
-	if own || e.codec.Hops >= maxHops {
-		return true
-	}
-	if owner == nil {
-		e.drop(reasonNoOwner)
-		return false
-	}
-	e.out = geneve.Append(e.out[:0], inner, e.codec.Direction, e.codec.Hops+1, host)
-	e.ToPeer(owner.Data, e.out, k.Hash())
-	e.count("forwarded-to-owner")
-	return false
-}
-
-// apply carries out a verdict; k is the key in the caller's direction.
-func (e *Engine) apply(v flow.Verdict, inner []byte, k *packet.Key) {
+// apply carries out the verdict about a packet.
+func (e *Engine) apply(w *waiting, v flow.Verdict) {
 	switch v.Action {
 	case flow.ToHost:
-		e.sendToHost(v.Host, inner, k.Hash())
+		e.sendToHost(v.Host, w.bytes, w.hash)
 	case flow.ToCaller:
-		e.sendToCaller(inner, k.Hash())
+		e.sendToCaller(w.bytes, w.hash)
 	case flow.Drop:
 		e.drop(v.Reason)
 		return
@@ -132,12 +150,11 @@
 
 // emit sends a packet that the flow table made, to the caller when there is no host.
 func (e *Engine) emit(_ time.Duration, to *fleet.Host, b []byte) {
-	hash := e.view.Key.Hash()
 	if to == nil {
-		e.sendToCaller(b, hash)
+		e.sendToCaller(b, e.hash)
 		return
 	}
-	e.sendToHost(to, b, hash)
+	e.sendToHost(to, b, e.hash)
 }
 
 func (e *Engine) sendToHost(h *fleet.Host, inner []byte, hash uint64) {
