Measure the daemon against a bare batched UDP relay

Cause: the target of 60% of the packets/s of a bare relay had no benchmark. The daemon owns all of 20,000 flows to 18 hosts; half of the packets are of each direction. Only reading, deciding and sending are timed.

--- /dev/null
+++ b/cmd/masticspard/bench_test.go
@@ -0,0 +1,239 @@
+package main
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/masticspar/masticspar/internal/document"
+	"github.com/masticspar/masticspar/internal/fabric"
+	"github.com/masticspar/masticspar/internal/geneve"
+	"github.com/masticspar/masticspar/internal/inventory"
+	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/settings"
+	"github.com/masticspar/masticspar/internal/standin/authority"
+	"github.com/masticspar/masticspar/internal/standin/platform"
+)
+
+const (
+	benchHosts  = 18
+	benchFlows  = 20_000
+	callerISN   = 1000
+	hostISN     = 5000
+	callerPorts = 1000
+)
+
+var benchService = netip.MustParseAddrPort("198.51.100.1:443")
+
+// rig is a daemon with its platform, and sockets in place of the fabric and the hosts.
+type rig struct {
+	testing.TB
+	daemon *daemon
+	hosts  []*batchReader
+	caller *batchReader
+	pinned []int // host of each flow
+}
+
+func newRig(t testing.TB) *rig {
+	t.Helper()
+	r := &rig{TB: t, caller: newBatchReader(t, "127.0.0.1:0")}
+	for i := range benchHosts {
+		r.hosts = append(r.hosts, newBatchReader(t, fmt.Sprintf("127.1.0.%d:0", i+1)))
+	}
+	stand := &platform.Server{}
+	server := httptest.NewServer(stand.Handler())
+	t.Cleanup(server.Close)
+	b, err := json.Marshal(r.inventory())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := stand.Publish("inventory", b); err != nil {
+		t.Fatal(err)
+	}
+	d, stop, err := newDaemon(testSettings(t, server.URL, r.caller.addr()), zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	r.daemon = d
+	for end := time.Now().Add(relayDeadline); !r.ready(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the daemon is not ready")
+		}
+	}
+	return r
+}
+
+func testSettings(t testing.TB, platform string, callers netip.AddrPort) *settings.Settings {
+	t.Helper()
+	directory := t.TempDir()
+	ca, err := authority.New(directory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := ca.Issue("entry-1"); err != nil {
+		t.Fatal(err)
+	}
+	s := &settings.Settings{}
+	s.SetDefaults()
+	s.Name, s.Region, s.AvailabilityZone = "entry-1", "wa", "wa-perth"
+	// The kernel chooses free ports.
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	s.FabricAddress, s.DataAddress, s.ControlAddress, s.OperatorAddress = loopback, loopback, loopback, loopback
+	s.Fabric, s.Platform = []netip.AddrPort{callers}, platform
+	s.CAFile = filepath.Join(directory, "ca.pem")
+	s.CertificateFile, s.KeyFile = filepath.Join(directory, "entry-1.pem"), filepath.Join(directory, "entry-1.key")
+	return s
+}
+
+func (r *rig) ready() bool {
+	r.daemon.mu.Lock()
+	defer r.daemon.mu.Unlock()
+	return r.daemon.engine.Ready()
+}
+
+func (r *rig) inventory() inventory.Document {
+	d := inventory.Document{Version: 1, AvailabilityZones: []string{"wa-perth"}, Services: []inventory.Service{{
+		Name: "standdesk", Protocol: "tcp", Addresses: []netip.AddrPort{benchService}, OwnerGroup: inventory.DefaultOwnerGroup,
+		WarmUp: document.Duration(inventory.DefaultWarmUp), MaxWait: document.Duration(inventory.DefaultMaxWait),
+	}}}
+	for i, h := range r.hosts {
+		d.Hosts = append(d.Hosts, inventory.Host{
+			Name: fmt.Sprintf("host-%d", i), Service: "standdesk", AvailabilityZone: "wa-perth", Address: h.addr(), Weight: 1,
+			Slots: 2, Connections: 100_000,
+		})
+	}
+	return d
+}
+
+func flowKey(i int) packet.Key {
+	a := netip.AddrFrom4([4]byte(binary.BigEndian.AppendUint32(nil, 10<<24+uint32(i/callerPorts))))
+	return packet.NewKey(packet.TCP, netip.AddrPortFrom(a, uint16(1024+i%callerPorts)), benchService)
+}
+
+func (r *rig) datagram(direction int, s packet.Segment) []byte {
+	b, err := s.Bytes()
+	if err != nil {
+		r.Fatal(err)
+	}
+	return geneve.Append(nil, b, direction, 0, netip.Addr{})
+}
+
+// open establishes flows with the given numbers.
+func (r *rig) open(from, to int) {
+	r.Helper()
+	handle := r.daemon.handler(false)
+	for i := from; i < to; i++ {
+		k := flowKey(i)
+		handle([]fabric.Datagram{{
+			Source: r.caller.addr(), Bytes: r.datagram(geneve.ToService, packet.Segment{Key: k, Seq: callerISN, SYN: true}),
+		}})
+		host := r.hostOf(i)
+		handle([]fabric.Datagram{{
+			Source: r.hosts[host].addr(),
+			Bytes: r.datagram(geneve.ToCaller,
+				packet.Segment{Key: k.Reverse(), Seq: hostISN, Ack: callerISN + 1, SYN: true, ACK: true}),
+		}})
+		handle([]fabric.Datagram{{
+			Source: r.caller.addr(),
+			Bytes:  r.datagram(geneve.ToService, packet.Segment{Key: k, Seq: callerISN + 1, Ack: hostISN + 1, ACK: true}),
+		}})
+		gather(r, 2, func([]fabric.Datagram) {}, r.hosts[host])
+		gather(r, 1, func([]fabric.Datagram) {}, r.caller)
+		r.pinned = append(r.pinned, host)
+	}
+}
+
+// hostOf returns the host that the flow is pinned to.
+func (r *rig) hostOf(i int) int {
+	r.Helper()
+	k := flowKey(i)
+	r.daemon.mu.Lock()
+	defer r.daemon.mu.Unlock()
+	f, err := r.daemon.engine.Flow(r.daemon.timer.Now(), "tcp", k.SourceAddr(), k.DestinationAddr())
+	if err != nil {
+		r.Fatal(err)
+	}
+	host := -1
+	if _, err := fmt.Sscanf(f.Host, "host-%d", &host); err != nil {
+		r.Fatalf("flow %d has no host: %+v %v", i, f, r.daemon.counters.Values())
+	}
+	return host
+}
+
+// BenchmarkDaemon compares the daemon, from the batch that it reads to the last datagram that it sends, with a bare relay
+// in alternate rounds. The packets are of established flows, one direction in each half of the rounds.
+func BenchmarkDaemon(b *testing.B) {
+	r := newRig(b)
+	r.open(0, benchFlows)
+	in, sink, source := newBatchReader(b, "127.0.0.1:0"), newBatchReader(b, "127.0.0.1:0"), newBareRelay(b, netip.AddrPort{})
+	bare := newBareRelay(b, sink.addr())
+	handle := r.daemon.handler(false)
+	requests, responses := make([][]byte, benchFlows), make([][]byte, benchFlows)
+	for i := range requests {
+		k, payload := flowKey(i), make([]byte, 100)
+		requests[i] = r.datagram(geneve.ToService,
+			packet.Segment{Key: k, Seq: callerISN + 1, Ack: hostISN + 1, ACK: true, Payload: payload})
+		responses[i] = r.datagram(geneve.ToCaller,
+			packet.Segment{Key: k.Reverse(), Seq: hostISN + 1, Ack: callerISN + 1, ACK: true, Payload: payload})
+	}
+	discard := func([]fabric.Datagram) {}
+	var bareTime, daemonTime time.Duration
+	position, packets := 0, 0
+	b.ReportAllocs()
+	for b.Loop() {
+		batch := make([]fabric.Datagram, relayBatch)
+		for direction, sources := range [][]netip.AddrPort{nil, r.addresses()} {
+			for i := range batch {
+				position = (position + 7919) % benchFlows
+				batch[i].Bytes = requests[position]
+				if direction == 1 {
+					batch[i] = fabric.Datagram{Bytes: responses[position], Source: sources[r.pinned[position]]}
+				}
+			}
+			source.send(in.addr(), batch)
+			started := time.Now()
+			gather(b, relayBatch, bare.relay, in)
+			bareTime += time.Since(started)
+			gather(b, relayBatch, discard, sink)
+
+			source.send(in.addr(), batch)
+			started = time.Now()
+			n := 0
+			gather(b, relayBatch, func(received []fabric.Datagram) {
+				if direction == 1 { // The source socket is not at the addresses of the hosts.
+					for i := range received {
+						received[i].Source = batch[n+i].Source
+					}
+				}
+				n += len(received)
+				handle(received)
+			}, in)
+			daemonTime += time.Since(started)
+			if direction == 0 {
+				gather(b, relayBatch, discard, r.hosts...)
+			} else {
+				gather(b, relayBatch, discard, r.caller)
+			}
+			packets += relayBatch
+		}
+	}
+	b.ReportMetric(float64(bareTime)/float64(packets), "bare-ns")
+	b.ReportMetric(float64(daemonTime)/float64(packets), "daemon-ns")
+	b.ReportMetric(float64(bareTime)/float64(daemonTime), "throughput-ratio")
+}
+
+func (r *rig) addresses() []netip.AddrPort {
+	list := make([]netip.AddrPort, 0, len(r.hosts))
+	for _, h := range r.hosts {
+		list = append(list, h.addr())
+	}
+	return list
+}
