Add the measurement program with its scenarios and baselines

The design has targets for broken flows, imbalance, first answers and settling, and nothing ran them on a whole site. cmd/measure runs seeded scenarios on the simulated site under masticspar, two baselines and two references that know the true capacities.

Seams: Engine.Choose and Engine.Truth replace the choice of a host and the learned capacity, site.Config.Setup replaces the packet path of an entry VM.

--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,9 @@
 
 demo: build
 	bin/demo --binaries bin
+
+# Figures of all scenarios in virtual time; the same on every run.
+measure:
+	@mkdir -p bin
+	@go build -o bin/ ./cmd/measure
+	@bin/measure
--- /dev/null
+++ b/cmd/measure/hash.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/geneve"
+	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/rendezvous"
+	"github.com/masticspar/masticspar/internal/standin/site"
+)
+
+const (
+	hashIdle  = time.Hour // as long as established flows of masticspar
+	hashSweep = time.Minute
+)
+
+// hasher replaces the packet path of an entry VM by the policy hash.
+type hasher struct {
+	vm     *site.VM
+	flows  map[packet.Key]*hashed
+	swept  time.Duration
+	codec  geneve.Codec
+	view   packet.Packet
+	ranker rendezvous.Ranker
+	out    []byte
+}
+
+type hashed struct {
+	host string
+	used time.Duration
+}
+
+func (h *hasher) datagram(now time.Duration, _ netip.AddrPort, _ bool, datagram []byte) {
+	inner, err := h.codec.Decode(datagram)
+	if err != nil || h.view.Parse(inner) != nil {
+		return
+	}
+	if h.codec.Direction == geneve.ToCaller {
+		h.out = geneve.Append(h.out[:0], inner, geneve.ToCaller, 0, netip.Addr{})
+		h.vm.Engine.ToFabric(h.out, h.view.Key.Hash())
+		return
+	}
+	s := h.service()
+	if s == nil {
+		return
+	}
+	if host := h.choose(now, s); host != nil {
+		h.out = geneve.Append(h.out[:0], inner, geneve.ToService, 0, netip.Addr{})
+		h.vm.Engine.ToHost(host.Address, h.out, h.view.Key.Hash())
+	}
+}
+
+func (h *hasher) service() *fleet.Service {
+	for _, s := range h.vm.Engine.Services() {
+		for _, a := range s.Addresses {
+			if a == h.view.Key.DestinationAddr() {
+				return s
+			}
+		}
+	}
+	return nil
+}
+
+// choose returns the host of the packet in view.
+func (h *hasher) choose(now time.Duration, s *fleet.Service) *fleet.Host {
+	h.sweep(now)
+	k := h.view.Key
+	if f := h.flows[k]; f != nil {
+		for _, known := range s.Hosts {
+			if known.Name == f.host {
+				f.used = now
+				return known
+			}
+		}
+	}
+	h.ranker.Reset(k.Hash())
+	for _, c := range s.Hosts {
+		weight := 1.0
+		if c.Leaving {
+			weight = 0
+		}
+		h.ranker.Add(rendezvous.Hash(c.Name), weight)
+	}
+	for _, i := range h.ranker.First(1) {
+		h.flows[k] = &hashed{host: s.Hosts[i].Name, used: now}
+		return s.Hosts[i]
+	}
+	return nil
+}
+
+func (h *hasher) sweep(now time.Duration) {
+	if h.flows == nil {
+		h.flows = map[packet.Key]*hashed{}
+	}
+	if now-h.swept < hashSweep {
+		return
+	}
+	h.swept = now
+	for k, f := range h.flows {
+		if now-f.used > hashIdle {
+			delete(h.flows, k)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/measure/judge.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Targets of the design; they do not follow what is measured.
+const (
+	targetImbalance = 1.15
+	targetExcess    = 0.5  // of the better baseline's excess over 1
+	targetAnswer    = 1.3  // times the better reference that knows the true capacities
+	targetSettle    = 10.0 // seconds
+	targetControl   = 4096 // bytes/s for each entry VM
+	targetInForce   = 6.0  // seconds
+	targetLastNew   = 3.0  // seconds
+)
+
+// score counts the figures that have a target.
+type score struct {
+	met, missed int
+}
+
+// figures collects the pairs of a line.
+type figures struct {
+	pairs []string
+	score *score
+}
+
+func (f *figures) add(key, format string, value any) {
+	f.pairs = append(f.pairs, key+"="+fmt.Sprintf(format, value))
+}
+
+// judge adds whether a figure meets its target.
+func (f *figures) judge(key string, met bool) {
+	verdict := "met"
+	if met {
+		f.score.met++
+	} else {
+		verdict = "missed"
+		f.score.missed++
+	}
+	f.pairs = append(f.pairs, key+"-target="+verdict)
+}
+
+// line formats the figures of one run; only masticspar has targets.
+func line(sc *scenario, p *policy, results map[*policy]result, total *score) string {
+	r, own := results[p], score{}
+	f := &figures{score: &own}
+	judged := p == masticspar
+	worst := 0.0
+	for _, ms := range r.p99 {
+		worst = max(worst, ms)
+	}
+	f.add("scenario", "%s", sc.name)
+	f.add("policy", "%s", p.name)
+	f.add("broken-flows", "%d", r.broken)
+	f.add("open-flows", "%d", r.open)
+	f.add("imbalance", "%.3f", r.imbalance)
+	f.add("first-answer-p99-ms", "%.1f", worst)
+	f.add("control-bytes-per-s", "%.0f", r.control)
+	f.add("flows", "%d", r.flows)
+	f.add("refused-flows", "%d", r.refused)
+	f.add("violations", "%d", len(r.violations))
+	f.optional(sc, r)
+	if judged {
+		f.targets(sc, r, results)
+		verdict := "met"
+		if own.missed > 0 {
+			verdict = "missed"
+		}
+		if own.met+own.missed > 0 {
+			f.pairs = append(f.pairs, "target="+verdict)
+		}
+	}
+	total.met, total.missed = total.met+own.met, total.missed+own.missed
+	return strings.Join(f.pairs, " ")
+}
+
+func (f *figures) optional(sc *scenario, r result) {
+	if sc.hostFails {
+		f.add("dead-host-flows", "%d", r.deadHost)
+	}
+	if sc.cut {
+		f.add("unreachable-flows", "%d", r.unreachable)
+	}
+	if r.settle >= 0 || sc.settles {
+		f.add("settle-seconds", "%.0f", r.settle)
+		f.add("swing", "%.2f", r.swing)
+	}
+	if r.inForce >= 0 {
+		f.add("in-force-seconds", "%.1f", r.inForce)
+	}
+	if r.lastNew >= 0 {
+		f.add("last-new-flow-seconds", "%.1f", r.lastNew)
+	}
+	if sc.hotService != "" {
+		for _, v := range sc.site(sc.seed).Services {
+			f.add("refused-share-"+v.Name, "%.3f", r.refusedShare[v.Name])
+		}
+	}
+}
+
+func (f *figures) targets(sc *scenario, r result, results map[*policy]result) {
+	if sc.judgeBroken {
+		f.judge("broken-flows", r.broken == 0)
+	}
+	if sc.judgeBalance {
+		better := min(results[hash].imbalance, results[leastFlows].imbalance)
+		f.judge("imbalance", r.imbalance <= targetImbalance)
+		f.judge("excess", r.imbalance-1 <= targetExcess*(better-1))
+		ratio := 0.0
+		for name, ms := range r.p99 {
+			ratio = max(ratio, ms/min(results[ideal].p99[name], results[idealShortest].p99[name]))
+		}
+		f.add("first-answer-ratio", "%.2f", ratio)
+		f.judge("first-answer", ratio <= targetAnswer)
+	}
+	if sc.settles {
+		f.judge("settle", r.settle >= 0 && r.settle <= targetSettle)
+	}
+	if sc.judgeUpdate {
+		f.judge("in-force", r.inForce >= 0 && r.inForce <= targetInForce)
+	}
+	if r.lastNew >= 0 {
+		f.judge("last-new-flow", r.lastNew <= targetLastNew)
+	}
+	f.judge("control-bytes", r.control <= targetControl)
+}
--- /dev/null
+++ b/cmd/measure/scenarios.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"time"
+
+	"github.com/masticspar/masticspar/internal/standin/site"
+)
+
+// scenario is a site, its callers and what happens to it.
+type scenario struct {
+	name     string
+	seed     uint64
+	site     func(seed uint64) site.Config
+	policies []*policy
+	// load is the rate of requests by what the hosts can execute at their ordinary speed.
+	load float64
+	// hotService has hotLoad instead.
+	hotService string
+	hotLoad    float64
+	// feeds are opened each second for each service; a feed has feedLines lines, one a second.
+	feeds     float64
+	feedLines int
+	// zoneCallers adds callers in each availability zone.
+	zoneCallers    bool
+	warmUp, window time.Duration
+	prepare        func(r *run)
+	steps          []step
+
+	// What the scenario has targets for.
+	judgeBroken, judgeBalance, judgeUpdate, settles bool
+	// hostFails says that a backend server fails, cut that an availability zone is cut off.
+	hostFails, cut bool
+}
+
+// step happens at a time after the warm-up.
+type step struct {
+	at time.Duration
+	do func(r *run)
+}
+
+func quokka(seed uint64) site.Config { return site.QuokkaLane(seed) }
+
+// hivatal returns the site with 8 entry VMs and speeds from 1 to 4.
+func hivatal(seed uint64) site.Config {
+	c := site.Hivatal(seed)
+	c.Entries = c.Entries[:8]
+	return c
+}
+
+var (
+	compared  = []*policy{masticspar, hash, leastFlows, ideal, idealShortest}
+	baselines = []*policy{masticspar, hash, leastFlows}
+)
+
+// scenarios returns all of them in the order of the output.
+func scenarios() []*scenario {
+	var list []*scenario
+	for _, u := range []struct {
+		name string
+		site func(uint64) site.Config
+	}{{"quokka", quokka}, {"hivatal", hivatal}} {
+		straggler := []step{{30 * time.Second, slow(0, 4, 5)}, {60 * time.Second, slow(0, 4, 1)}}
+		list = append(list,
+			&scenario{
+				name: u.name + "-quiet", site: u.site, policies: compared, load: 0.3, feeds: 1, feedLines: 60,
+				judgeBroken: true, judgeBalance: true,
+			},
+			&scenario{
+				name: u.name + "-evening", site: u.site, policies: compared, load: 0.85, feeds: 3, feedLines: 60,
+				steps: straggler, judgeBroken: true, judgeBalance: true,
+			},
+			&scenario{
+				name: u.name + "-evening-failures", site: u.site, policies: baselines, load: 0.85, feeds: 3, feedLines: 60,
+				steps: append([]step{
+					{10 * time.Second, kill("entry-3")},
+					{15 * time.Second, join("entry-3", "", 3)},
+					{35 * time.Second, leave(0, 9)},
+					{40 * time.Second, pause("entry-5", 20*time.Second)},
+					{45 * time.Second, replace("entry-1", "entry-8")},
+					{70 * time.Second, stop(0, 12)},
+				}, straggler...), hostFails: true, judgeBroken: true,
+			})
+	}
+	faults := []*scenario{
+		{name: "entry-killed", site: quokka, steps: []step{{20 * time.Second, kill("entry-3")}}, judgeBroken: true},
+		{name: "entry-replaced", site: quokka, steps: []step{{20 * time.Second, replace("entry-3", "entry-8")}}, judgeBroken: true},
+		{
+			name: "entry-paused", site: quokka, judgeBroken: true,
+			steps: []step{{20 * time.Second, pause("entry-3", 20*time.Second)}},
+		},
+		{name: "host-leaving", site: quokka, steps: []step{{20 * time.Second, leave(0, 5)}}, judgeBroken: true},
+		{
+			name: "two-changes", site: quokka, judgeBroken: true,
+			steps: []step{{20 * time.Second, replace("entry-3", "entry-8")}, {20 * time.Second, leave(0, 5)}},
+		},
+		{
+			name: "zone-cut", site: quokka, load: 0.1, feeds: 0.3, feedLines: 660, zoneCallers: true, cut: true, judgeBroken: true,
+			warmUp: 30 * time.Second, window: 640 * time.Second,
+			steps: []step{{20 * time.Second, isolate(1)}, {620 * time.Second, heal}},
+		},
+		{
+			name: "platform-down", site: quokka, judgeBroken: true, judgeUpdate: true,
+			steps: []step{{20 * time.Second, updateByPeers("entry-2", 0, 5)}},
+		},
+		{name: "silent-host", site: hivatal, steps: []step{{20 * time.Second, silence(0, 7)}}, hostFails: true},
+		{name: "refusing-host", site: hivatal, steps: []step{{20 * time.Second, refuse(0, 7)}}, hostFails: true},
+		{
+			name: "cold-start", site: hivatal, load: 0.6, window: 150 * time.Second,
+			prepare: absent(0, 6, 8), steps: []step{{10 * time.Second, coldStart(0, 6, 8)}}, judgeBroken: true,
+		},
+		{name: "overload", site: hivatal, load: 1.3, hotService: "eredmeny", hotLoad: 0.5, judgeBroken: true},
+		{
+			name: "step-down", site: hivatal, load: 0.7, settles: true,
+			steps: []step{{20 * time.Second, stepChange(0, 8, 4)}}, policies: []*policy{masticspar},
+		},
+		{
+			name: "step-up", site: hivatal, load: 0.6, settles: true, policies: []*policy{masticspar},
+			prepare: slow(0, 8, 4), steps: []step{{20 * time.Second, stepChange(0, 8, 1)}},
+		},
+	}
+	list = append(list, faults...)
+	for i, sc := range list {
+		sc.seed = uint64(i + 1)
+		sc.defaults()
+	}
+	return list
+}
+
+func (sc *scenario) defaults() {
+	if sc.load == 0 {
+		sc.load = 0.4
+	}
+	if sc.feedLines == 0 {
+		sc.feeds, sc.feedLines = 2, 40
+	}
+	if sc.warmUp == 0 {
+		sc.warmUp = 40 * time.Second
+	}
+	if sc.window == 0 {
+		sc.window = 90 * time.Second
+	}
+	if sc.policies == nil {
+		sc.policies = baselines
+	}
+}
--- a/internal/capacity/learn.go
+++ b/internal/capacity/learn.go
@@ -196,6 +196,10 @@
 		} else if h.capacity > 0 {
 			base += (h.capacity - prior) * h.samples / learnedSamples
 		}
+		if m.Truth != nil {
+			h.weight, st.learned = max(m.Truth(h.config.Name), weightFloor), true
+			continue
+		}
 		h.weight = max(base*h.success()*m.rampUp(now, st, h), weightFloor*prior)
 	}
 	st.fill()
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -59,6 +59,10 @@
 	Send func(to member.Member, kind Kind, body []byte)
 	// Counters counts drops, refusals and retries by reason.
 	Counters *counter.Set
+	// Choose replaces the choice of a host for a new flow, for policies to compare with; nil selects the learned capacities.
+	Choose func(s *fleet.Service, avoid []uint32, figures []capacity.Figure) (*fleet.Host, string)
+	// Truth gives the true capacity of a host in requests/s in place of the learned one; nil learns it.
+	Truth func(host string) float64
 	// Logger receives one line for each event; nil discards them.
 	Logger *zap.Logger
 
@@ -74,6 +78,7 @@
 	due      schedule
 	peerData map[netip.Addr]bool
 	figures  map[uint32]*hostFigures
+	choices  []capacity.Figure
 
 	now     time.Duration
 	stale   bool
@@ -107,6 +112,7 @@
 	e.model.Self = e.Self.Name
 	e.model.Incarnation = e.Self.Incarnation
 	e.model.Epoch = e.Epoch
+	e.model.Truth = e.Truth
 }
 
 func (e *Engine) startFlows() {
@@ -157,6 +163,10 @@
 	} else if reason := e.gate.Admit(s.ID); reason != "" {
 		return nil, reason
 	}
+	if e.Choose != nil {
+		e.choices = e.model.Figures(s, e.choices[:0])
+		return e.Choose(s, avoid, e.choices)
+	}
 	h, reason := e.model.Pick(now, s, k, last)
 	if reason == capacity.Overload {
 		e.gate.Overloaded(now)
@@ -183,6 +193,9 @@
 	return e.picture.Versions().Of(kind).Number
 }
 
+// Services returns the services of the configuration in force.
+func (e *Engine) Services() []*fleet.Service { return e.picture.Services() }
+
 // Try hands over the addresses in the platform's list of VMs.
 func (e *Engine) Try(addresses []netip.AddrPort) {
 	e.members.Try(addresses)
--- a/internal/standin/caller/report.go
+++ b/internal/standin/caller/report.go
@@ -76,6 +76,13 @@
 	return r
 }
 
+// ResetFirstAnswer forgets the first-answer times so far, such as those of a warm-up.
+func (c *Caller) ResetFirstAnswer() {
+	if c.latency != nil {
+		c.latency.Reset()
+	}
+}
+
 // answered records progress and, once for each flow, the first-answer time.
 func (c *Caller) answered(now time.Duration, f *flow) {
 	f.progress = now
@@ -131,3 +138,6 @@
 		c.Ended(f.key, outcome, cmp.Or(f.server, f.host))
 	}
 }
+
+// Pending returns the number of flows without an outcome.
+func (c *Caller) Pending() int { return c.pending }
--- a/internal/standin/site/config.go
+++ b/internal/standin/site/config.go
@@ -28,6 +28,8 @@
 	FlowCapacity int
 	// PausedQueue is the number of datagrams and messages that wait for a paused entry VM; zero selects 256.
 	PausedQueue int
+	// Setup changes an entry VM before it starts, for policies to compare with; nil leaves it as it is.
+	Setup func(s *Site, v *VM)
 }
 
 // Entry describes an entry VM.
--- a/internal/standin/site/network.go
+++ b/internal/standin/site/network.go
@@ -80,7 +80,7 @@
 		return
 	}
 	s.carry(zone, v.Zone, s.Loss, func() {
-		v.receive(func() { v.Engine.Datagram(v.now(), source, false, datagram) })
+		v.receive(func() { v.Datagram(v.now(), source, false, datagram) })
 	})
 }
 
@@ -125,7 +125,7 @@
 		return
 	}
 	s.carry(v.Zone, peer.Zone, s.Loss, func() {
-		peer.receive(func() { peer.Engine.Datagram(peer.now(), source, true, b) })
+		peer.receive(func() { peer.Datagram(peer.now(), source, true, b) })
 	})
 }
 
--- a/internal/standin/site/vm.go
+++ b/internal/standin/site/vm.go
@@ -29,6 +29,8 @@
 	Entry
 	// Engine is the process under test.
 	Engine *entry.Engine
+	// Datagram handles a datagram; it is the method of the Engine unless Config.Setup replaces it.
+	Datagram func(now time.Duration, source netip.AddrPort, fromPeer bool, datagram []byte)
 	// Address is the IP address.
 	Address netip.Addr
 	// Counters are those of the engine.
@@ -76,6 +78,10 @@
 		v.Engine.Contacts = append(v.Engine.Contacts,
 			netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), controlPort))
 	}
+	v.Datagram = v.Engine.Datagram
+	if s.Config.Setup != nil {
+		s.Config.Setup(s, v)
+	}
 	s.VMs = append(s.VMs, v)
 	v.timer.OnPause(v.Engine.Pause)
 	v.timer.Subscribe(entry.TickPeriod, v.Engine.Tick)
