Give retries a floor of 5 per second

Cause: a flow whose host is silent moves on with a retry token, and tokens came from new flows only (10%). A freshly started or small entry VM had none left after a few trial flows, so callers of a zone that was cut off soon after the start had no handshake after 15 retries. Ruled out: more trial-flow backoff, which only delays the last token. Change: 5 tokens/s per VM whatever the flows; none is granted for a second after a refusal for overload, as before.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -19,6 +19,9 @@
 	fairAbove = 0.9
 	// retryShare is the number of retries for each new flow.
 	retryShare = 0.1
+	// retryFloor is the number of retries per second that need no new flows. Without it, callers of a small or freshly
+	// started entry VM cannot leave a silent host, because trial flows use up the few tokens that flows earn.
+	retryFloor = 5
 	// retryBurst lets a service recover when one host dies, and bounds the burst after a quiet time.
 	retryBurst = 100
 	// probeBurst is the part of a second whose probes may go out at once.
@@ -37,6 +40,7 @@
 	open       int
 	services   map[uint32]int // open flows
 	retries    float64        // tokens
+	refilled   time.Duration  // time of the last refill of retries by the floor
 	retrying   int            // granted retries that have not opened their flow yet
 	overloaded time.Duration  // until when retries stop
 	probes     float64        // tokens
@@ -98,6 +102,10 @@
 
 // AllowRetry takes a token for sending the SYN of a flow to another host.
 func (g *Gate) AllowRetry(now time.Duration) bool {
+	if now > g.refilled {
+		g.retries = min(retryBurst, g.retries+retryFloor*(now-g.refilled).Seconds())
+		g.refilled = now
+	}
 	if now < g.overloaded || g.retries < 1 {
 		return false
 	}
