--- a/cmd/masticspard/bench_test.go
+++ b/cmd/masticspard/bench_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http/httptest"
 	"net/netip"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -74,11 +73,11 @@
 func testSettings(t testing.TB, platform string, callers netip.AddrPort) *settings.Settings {
 	t.Helper()
 	directory := t.TempDir()
-	ca, err := authority.New(directory)
+	ca, err := authority.New()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := ca.Issue("entry-1"); err != nil {
+	if err := ca.Write(directory, "entry-1"); err != nil {
 		t.Fatal(err)
 	}
 	s := &settings.Settings{}
@@ -88,8 +87,8 @@
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
 	s.FabricAddress, s.DataAddress, s.ControlAddress, s.OperatorAddress = loopback, loopback, loopback, loopback
 	s.Fabric, s.Platform = []netip.AddrPort{callers}, platform
-	s.CAFile = filepath.Join(directory, "ca.pem")
-	s.CertificateFile, s.KeyFile = filepath.Join(directory, "entry-1.pem"), filepath.Join(directory, "entry-1.key")
+	files := authority.PathsIn(directory, s.Name)
+	s.CAFile, s.CertificateFile, s.KeyFile = files.CA, files.Certificate, files.Key
 	return s
 }
 
