Bound the bytes that an unanswered message costs

Change: the first backoff is 500 ms instead of 100 ms, a message expires after 3 s instead of 4 s, and its age is checked again after the backoff.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -19,9 +19,11 @@
 )
 
 const (
-	deadline      = 2 * time.Second // Of each dial, handshake and stream exchange, and of a silent connection.
-	messageAge    = 2 * deadline    // Leaves time for a second dial after the first one ran into its deadline.
-	firstBackoff  = 100 * time.Millisecond
+	deadline = 2 * time.Second // Of each dial, handshake and stream exchange, and of a silent connection.
+	// A dial without answer sends 6,000 bytes in 1 s, more than the budget of a second. The age of a message and the
+	// first backoff leave time for two dials and no third one.
+	messageAge    = 3 * time.Second
+	firstBackoff  = 500 * time.Millisecond
 	lastBackoff   = 5 * time.Second
 	watchPeriod   = 250 * time.Millisecond
 	reloadPeriod  = 5 * time.Second
@@ -232,7 +234,8 @@
 
 func (l *Link) settings() *quic.Config {
 	return &quic.Config{
-		HandshakeIdleTimeout:    deadline / 2, // quic-go allows a handshake twice this time.
+		// quic-go ends a dial after this time without any answer, and a handshake after twice this time.
+		HandshakeIdleTimeout:    deadline / 2,
 		MaxIdleTimeout:          l.Idle,
 		MaxIncomingStreams:      -1,
 		MaxIncomingUniStreams:   maxStreams,
--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -277,7 +277,7 @@
 	sendUntil(t, a, b.peer(), "message on a new connection", func() bool { return len(b.received()) > seen })
 }
 
-// Guards against a peer that does not answer and makes the process collect messages for it.
+// Guards against a peer that does not answer and makes the process collect messages, or spend its bytes on dials.
 func TestQueueIsBounded(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
@@ -293,6 +293,8 @@
 	is.True(a.count("peer-dropped-queue-full") >= 6) // One may have been taken from the queue.
 	eventually(t, "drop of old messages", func() bool { return a.count("peer-dropped-expired") > 0 })
 	is.True(a.count("peer-retry-dial") > 0)
+	is.True(a.count("peer-dials") <= 2)
+	is.True(a.count("peer-bytes-sent") <= 2*6000)
 }
 
 // Guards against a key change that needs a restart or drops live connections, and against half-written files.
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -61,6 +61,7 @@
 
 // deliver sends one message, on a new connection if necessary, until it is too old to be of use.
 func (l *Link) deliver(s *session, it item) {
+	waited := false
 	for l.tb.Alive() {
 		if time.Since(it.queued) > messageAge {
 			l.drop("expired", it.data)
@@ -77,15 +78,17 @@
 			l.end(c, "write failed")
 			continue
 		}
-		if backoff > 0 {
+		if backoff > 0 && !waited {
 			select {
-			case <-time.After(backoff/2 + rand.N(backoff)):
+			case <-time.After(backoff + rand.N(backoff/2)):
+				waited = true
 			case <-s.adopted:
-				continue
 			case <-l.tb.Dying():
 				return
 			}
+			continue // The message may be too old now, or a connection open.
 		}
+		waited = false
 		l.mu.Lock()
 		s.backoff = min(max(2*s.backoff, firstBackoff), lastBackoff)
 		l.mu.Unlock()
