--- a/internal/capacity/learn.go
+++ b/internal/capacity/learn.go
@@ -54,7 +54,7 @@
 	weight   float64 // capacity or prior with all factors
 	reduced  bool    // a factor other than max-share lowers the weight well below the capacity
 
-	patience  time.Duration // without completions until the host is stalled
+	stallTime time.Duration // without completions until the host is stalled
 	progress  time.Duration // last completion, or when the requests became outstanding
 	bad       bool
 	streak    int           // own failures since the last answer
@@ -85,10 +85,10 @@
 				h.gross, h.answered, h.answers = 0, 0, 0
 			}
 			h.advance(now)
-			h.listen(gap)
+			h.estimateSilent(gap)
 			h.learn(now, decay, gap.Seconds())
-			h.judge(now)
-			h.settle(now)
+			h.detectBad(now)
+			h.reclaim(now)
 			// A path that became slower must not keep its old minimum for ever.
 			h.handshake += h.handshake / 64
 		}
@@ -151,9 +151,9 @@
 	return rate / high
 }
 
-// judge finds out whether the host is bad. A trial flow is scheduled in every member, so that a new sender continues
+// detectBad excludes a host that stalls or fails. A trial flow is scheduled in every member, so that a new sender continues
 // with the backoff of the last one.
-func (h *host) judge(now time.Duration) {
+func (h *host) detectBad(now time.Duration) {
 	if h.bad {
 		if !h.sender && now >= h.trialAt {
 			h.trialSent(now)
@@ -185,7 +185,7 @@
 
 // stalled reports whether requests are outstanding and none completes.
 func (h *host) stalled(now time.Duration) bool {
-	after := max(stalledAfter, h.patience)
+	after := max(stalledAfter, h.stallTime)
 	if now < h.unhealthyUntil {
 		after /= 2
 	}
@@ -202,9 +202,9 @@
 	prior, median := st.quartiles()
 	st.learned = prior > 0
 	for _, h := range st.hosts {
-		h.patience = 0
+		h.stallTime = 0
 		if median > 0 {
-			h.patience = time.Duration(min(stalledCompletions/median, trialMax.Seconds()) * float64(time.Second))
+			h.stallTime = time.Duration(min(stalledCompletions/median, trialMax.Seconds()) * float64(time.Second))
 		}
 		base := prior
 		if !st.learned {
@@ -215,7 +215,7 @@
 		h.weight = max(base*h.success()*m.rampUp(now, st, h), weightFloor*prior)
 		h.reduced = h.weight < reducedBelow*base
 	}
-	st.fill()
+	st.applyMaxShare()
 }
 
 // quartiles returns the lowest quartile and the median of the learned capacities, zero when there are none.
@@ -263,9 +263,9 @@
 	return min(1, coldFactor+(1-coldFactor)*max(0, age.Seconds())/full.Seconds())
 }
 
-// fill lowers the weights of hosts above their share and gives the rest to the others in proportion. Shares that add
+// applyMaxShare lowers the weights of hosts above their share and gives the rest to the others in proportion. Shares that add
 // up to less than all work leave the weights of the remaining hosts as they are.
-func (st *service) fill() {
+func (st *service) applyMaxShare() {
 	total, capped := 0.0, false
 	for _, h := range st.hosts {
 		h.filled = false
--- a/internal/capacity/limit.go
+++ b/internal/capacity/limit.go
@@ -78,9 +78,9 @@
 	return max(0, h.open-max(0, h.part-h.lent))
 }
 
-// settle takes back what the other members no longer need. A silent member may have borrowed without a report of it, so
+// reclaim takes back what the other members no longer need. A silent member may have borrowed without a report of it, so
 // nothing is taken back from it.
-func (h *host) settle(now time.Duration) {
+func (h *host) reclaim(now time.Duration) {
 	if h.part < h.nextPart && now >= h.partAt {
 		h.part = h.nextPart
 	}
@@ -88,7 +88,7 @@
 		g := &h.peers[i]
 		if now-h.created <= holdTime {
 			// A process that has just restarted has forgotten what it lent before.
-			h.keep(g, min(g.borrowed, h.part-h.open-h.lent+g.granted))
+			h.raiseGrant(g, min(g.borrowed, h.part-h.open-h.lent+g.granted))
 		}
 		if now-g.member.at > reportLifetime {
 			g.since = now
@@ -106,8 +106,8 @@
 	h.allow()
 }
 
-// keep raises a grant to at least n.
-func (h *host) keep(g *gauge, n int) {
+// raiseGrant raises a grant to at least n.
+func (h *host) raiseGrant(g *gauge, n int) {
 	if n > g.granted {
 		h.lent += n - g.granted
 		g.granted = n
@@ -136,7 +136,7 @@
 		target := int(float64(usable) * g.member.size(h.owners) / needy)
 		g.proposed = max(0, min(target, g.granted+max(0, usable-h.lent)))
 		sum += g.proposed
-		h.keep(g, g.proposed)
+		h.raiseGrant(g, g.proposed)
 		g.peak = max(g.peak, g.proposed)
 	}
 	h.allow()
--- a/internal/capacity/model_test.go
+++ b/internal/capacity/model_test.go
@@ -163,7 +163,7 @@
 	m.Merge(time.Second, "vm-1", Report{Sequence: 1, Hosts: []Sums{{Host: m.hosts[1].name(), Open: 5}}})
 	is.Equal(m.hosts[1].others.open+m.hosts[2].others.open, 0)
 	is.Equal(len(m.Part(r, "vm-1").Hosts), 1)
-	is.Equal(len(m.Part(r, "stranger").Hosts), 0)
+	is.Equal(len(m.Part(r, "not-an-owner").Hosts), 0)
 }
 
 // Guards the connection limit of a host over the whole owner group, with reports that are lost, late or doubled.
--- a/internal/capacity/silence.go
+++ b/internal/capacity/silence.go
@@ -24,8 +24,8 @@
 	silent float64 // whole number of silent requests
 }
 
-// listen updates the estimate after the given time.
-func (h *host) listen(gap time.Duration) {
+// estimateSilent updates the estimate after the given time.
+func (h *host) estimateSilent(gap time.Duration) {
 	seconds := gap.Seconds()
 	if h.answers > 0 {
 		weight := min(1, float64(h.answers)/learnedSamples)
