Add benchmarks of what a daemon costs at several sizes

The target of the design has 500 daemons and 5,700 hosts, and no benchmark showed what a daemon costs there.

The new package runs fleets of engines in one process with links in memory and fits each cost to a line over the size of the fleet.

--- /dev/null
+++ b/internal/standin/sizing/fit.go
@@ -0,0 +1,100 @@
+package sizing
+
+import (
+	"fmt"
+	"math"
+	"strings"
+)
+
+// Line is a cost that grows with a size: Base + Slope × size.
+type Line struct {
+	// Base is the cost at size zero, and Slope the cost of one more unit.
+	Base, Slope float64
+	// Worst is the greatest distance of a measured value from the line, relative to the greatest value.
+	Worst float64
+	// Lowest and Highest are the sizes between which the line was measured.
+	Lowest, Highest float64
+}
+
+// Fit returns the line with the least sum of squared distances. Fewer than two different sizes give a constant.
+func Fit(sizes, values []float64) Line {
+	n := float64(len(sizes))
+	if n == 0 {
+		return Line{}
+	}
+	var sx, sy, sxx, sxy float64
+	l := Line{Lowest: sizes[0], Highest: sizes[0]}
+	greatest := 0.0
+	for i, x := range sizes {
+		sx, sy, sxx, sxy = sx+x, sy+values[i], sxx+x*x, sxy+x*values[i]
+		l.Lowest, l.Highest = min(l.Lowest, x), max(l.Highest, x)
+		greatest = max(greatest, math.Abs(values[i]))
+	}
+	if d := n*sxx - sx*sx; d > 0 {
+		l.Slope = (n*sxy - sx*sy) / d
+	}
+	l.Base = (sy - l.Slope*sx) / n
+	for i, x := range sizes {
+		if greatest > 0 {
+			l.Worst = max(l.Worst, math.Abs(values[i]-l.At(x))/greatest)
+		}
+	}
+	return l
+}
+
+// At returns the cost at a size.
+func (l Line) At(size float64) float64 { return l.Base + l.Slope*size }
+
+// String returns the line, its worst distance and the sizes it was measured at.
+func (l Line) String() string {
+	return fmt.Sprintf("%.4g + %.4g × size, worst distance %.0f%% of the greatest value, sizes %g to %g",
+		l.Base, l.Slope, 100*l.Worst, l.Lowest, l.Highest)
+}
+
+// Table collects one row of figures for each size and fits each column.
+type Table struct {
+	// Title says what was measured, Size what the rows differ in.
+	Title, Size string
+	// Columns are the names of the figures with their units.
+	Columns []string
+
+	sizes []float64
+	rows  [][]float64
+}
+
+// Add adds the figures of one size, in the order of Columns.
+func (t *Table) Add(size float64, figures ...float64) {
+	t.sizes, t.rows = append(t.sizes, size), append(t.rows, figures)
+}
+
+// Line returns the fitted line of a column.
+func (t *Table) Line(column int) Line {
+	values := make([]float64, len(t.rows))
+	for i := range t.rows {
+		values[i] = t.rows[i][column]
+	}
+	return Fit(t.sizes, values)
+}
+
+// String returns the figures and, below three or more sizes, the fitted lines.
+func (t *Table) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s\n%12s", t.Title, t.Size)
+	for _, c := range t.Columns {
+		fmt.Fprintf(&b, "  %s", c)
+	}
+	b.WriteByte('\n')
+	for i, size := range t.sizes {
+		fmt.Fprintf(&b, "%12g", size)
+		for j, c := range t.Columns {
+			fmt.Fprintf(&b, "  %*.5g", len([]rune(c)), t.rows[i][j])
+		}
+		b.WriteByte('\n')
+	}
+	if len(t.sizes) >= 3 {
+		for j, c := range t.Columns {
+			fmt.Fprintf(&b, "  fit %s: %s\n", c, t.Line(j))
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/standin/sizing/fleet_test.go
@@ -0,0 +1,194 @@
+package sizing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/entry"
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/member"
+)
+
+// flowsPerVM is the rate of new flows of one daemon at the target: 53,000 a second over 500.
+const flowsPerVM = 106
+
+// usage is what the daemons of a fleet used since reset.
+type usage struct {
+	cpu, longest           time.Duration // of all daemons, and the longest time for which one lock was held
+	sent, messages         [entry.Hint + 1]int
+	greatestCPU            time.Duration
+	greatestSent, received int // of one daemon
+	documents              int // bytes of documents received by all
+}
+
+func (n *network) usage() usage {
+	var u usage
+	for _, v := range n.vms {
+		u.cpu += v.used
+		u.greatestCPU, u.longest = max(u.greatestCPU, v.used), max(u.longest, v.longest)
+		sent, received := 0, 0
+		for k := entry.Membership; k <= entry.Hint; k++ {
+			u.sent[k] += v.sent[k]
+			u.messages[k] += v.messages[k]
+			sent += v.sent[k]
+			received += v.received[k]
+		}
+		u.greatestSent, u.received = max(u.greatestSent, sent), max(u.received, received)
+		u.documents += v.received[entry.Configuration]
+	}
+	return u
+}
+
+// quiet lets the fleet run and adds a row of what each daemon uses in a second.
+func (n *network) quiet(t *Table, seconds int, heapBytes float64) {
+	n.reset()
+	n.clock.Advance(time.Duration(seconds) * time.Second)
+	u := n.usage()
+	per := float64(len(n.vms) * seconds)
+	t.Add(float64(n.size), float64(u.cpu.Microseconds())/per, float64(u.sent[entry.Membership])/per,
+		float64(u.messages[entry.Membership])/per, float64(u.sent[entry.Report])/per, float64(u.messages[entry.Report])/per,
+		u.longest.Seconds()*1000, heapBytes/float64(len(n.vms))/1000)
+}
+
+var quietColumns = []string{
+	"CPU-µs/s", "members-B/s", "members-msg/s", "reports-B/s", "reports-msg/s", "longest-ms", "heap-KB",
+}
+
+// event runs begin and then the fleet until all live engines satisfy done, and adds a row.
+func (n *network) event(t *Table, limit time.Duration, begin func(), done func(*vm) bool) {
+	n.reset()
+	begin()
+	took := n.until(limit, done)
+	late := n.count(everyone) - n.count(done)
+	u := n.usage()
+	vms := float64(len(n.vms))
+	total := 0
+	for _, b := range u.sent {
+		total += b
+	}
+	document := float64(len(documentOf(fleet.Inventory, n.scale, 1)))
+	t.Add(float64(n.size), took.Seconds(), float64(late), u.cpu.Seconds()*1000/vms, u.greatestCPU.Seconds()*1000,
+		u.longest.Seconds()*1000, float64(total)/vms/1000, float64(u.greatestSent)/1000, float64(u.received)/1000,
+		float64(u.documents)/vms/document)
+}
+
+var eventColumns = []string{
+	"took-s", "late", "CPU-ms", "most-CPU-ms", "longest-ms", "sent-KB", "most-sent-KB", "most-received-KB", "documents",
+}
+
+func has(kind fleet.Kind, version uint64) func(*vm) bool {
+	return func(v *vm) bool { return v.Version(kind) == version }
+}
+
+// BenchmarkFleet runs whole fleets: quiet, through changes of configuration, restarts and the loss of a third of the
+// members of a region. Figures are for each daemon.
+func BenchmarkFleet(*testing.B) {
+	quiet := Table{Title: "Quiet, without flows", Size: "VMs", Columns: quietColumns}
+	all := Table{Title: "New inventory, read by every daemon from the platform", Size: "VMs", Columns: eventColumns}
+	one := Table{Title: "New inventory, read by one daemon from the platform", Size: "VMs", Columns: eventColumns}
+	restart := Table{Title: "20 daemons (2 of 8) are replaced at once, without a drain", Size: "VMs", Columns: eventColumns}
+	lost := Table{Title: "A third of the members of a region is lost", Size: "VMs", Columns: eventColumns}
+	for _, s := range []scale{today, tenth, region} {
+		start := time.Now()
+		before := heap()
+		n := ready(s, 1, fine, nil)
+		n.quiet(&quiet, 2, heap()-before)
+		n.event(&all, 10*time.Second, func() { n.publish(fleet.Inventory, 2, everyone) }, has(fleet.Inventory, 2))
+		n.event(&one, 10*time.Second, func() {
+			n.publish(fleet.Inventory, 3, func(v *vm) bool { return v.index == s.size/2 })
+		}, has(fleet.Inventory, 3))
+		burst := min(20, s.size/4)
+		n.event(&restart, 20*time.Second, func() {
+			for i := range burst {
+				n.start(s.size - 1 - i)
+			}
+		}, func(v *vm) bool { return v.Ready() && v.Version(fleet.Inventory) == 3 && v.knows(n) })
+		dead := 0
+		n.event(&lost, 20*time.Second, func() {
+			members := n.count(func(v *vm) bool { return v.region == 0 })
+			for _, v := range n.vms[3:] {
+				if v.region == 0 && dead < members/3 {
+					v.dead = true
+					dead++
+				}
+			}
+		}, func(v *vm) bool { return v.live() == s.size-dead })
+		fmt.Printf("%d VMs: %.0f s\n", s.size, time.Since(start).Seconds())
+	}
+	for _, t := range []*Table{&quiet, &all, &one, &restart, &lost} {
+		show(t)
+	}
+}
+
+// live returns the number of members that are not dead.
+func (v *vm) live() int {
+	live := 0
+	for _, m := range v.Members() {
+		if m.State != member.Dead {
+			live++
+		}
+	}
+	return live
+}
+
+// knows reports whether v knows the present process of every VM as live.
+func (v *vm) knows(n *network) bool {
+	known := 0
+	for _, m := range v.Members() {
+		if p := n.byName[m.Name]; p != nil && m.Incarnation >= p.Self.Incarnation && m.State == member.Alive {
+			known++
+		}
+	}
+	return known == len(n.vms)
+}
+
+// BenchmarkTraffic runs fleets in which each daemon opens flows at the rate of the target. Every flow is one request.
+func BenchmarkTraffic(*testing.B) {
+	t := Table{Title: "106 new flows/s for each daemon", Size: "VMs", Columns: quietColumns}
+	for _, s := range []scale{today, tenth, region} {
+		n := ready(s, 1, fine, &traffic{perVM: flowsPerVM})
+		n.clock.Advance(3 * time.Second)
+		n.quiet(&t, 3, 0)
+	}
+	show(&t)
+}
+
+// BenchmarkRegions separates three regions for an hour, in which each gets other versions, and lets them meet again.
+func BenchmarkRegions(*testing.B) {
+	t := Table{Title: "Three regions meet again, until the newest version is in force", Size: "VMs", Columns: eventColumns}
+	known := Table{Title: "Then until all members are known", Size: "VMs", Columns: eventColumns}
+	apart := Table{Title: "Three regions apart", Size: "VMs", Columns: quietColumns}
+	for _, c := range []struct {
+		scale
+		apart time.Duration
+		step  time.Duration
+	}{
+		{scale{12, 18, 4, 3}, time.Hour + time.Minute, entry.TickPeriod},
+		{scale{24, 66, 11, 3}, time.Minute, entry.TickPeriod},
+		{scale{96, 570, 110, 3}, time.Minute, entry.TickPeriod},
+		{scale{192, 570, 110, 3}, time.Minute, entry.TickPeriod},
+	} {
+		n := ready(c.scale, 1, c.step, nil)
+		n.apart = true
+		for r := range 3 {
+			n.publish(fleet.Inventory, uint64(2+r), func(v *vm) bool { return v.region == r })
+		}
+		n.listAddresses()
+		n.clock.Advance(c.apart - 2*time.Second)
+		n.quiet(&apart, 2, 0)
+		n.event(&t, 30*time.Second, func() { n.apart = false }, has(fleet.Inventory, 4))
+		n.event(&known, 90*time.Second, func() {}, func(v *vm) bool { return v.live() == n.size })
+	}
+	show(&apart)
+	show(&t)
+	show(&known)
+}
+
+// listAddresses gives every daemon the platform's list of VMs.
+func (n *network) listAddresses() {
+	list := n.controlAddresses()
+	for _, v := range n.vms {
+		v.Try(list)
+	}
+}
--- /dev/null
+++ b/internal/standin/sizing/network_test.go
@@ -0,0 +1,304 @@
+package sizing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/counter"
+	"github.com/masticspar/masticspar/internal/entry"
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/member"
+	"github.com/masticspar/masticspar/internal/timer"
+)
+
+const (
+	workers     = 4
+	fine        = 10 * time.Millisecond                   // the step of a network, unless it runs for long
+	near, far   = time.Millisecond, 40 * time.Millisecond // one way within a region and between two
+	uplink      = 12.5e6                                  // bytes/s of a small VM that sends documents
+	decodeTime  = 100 * time.Millisecond                  // for a document of 1 MB, above what is measured
+	platformLag = 200 * time.Millisecond                  // greatest time until a waiting watch is answered
+	bulk        = 4096                                    // bytes above which a message takes time to send
+)
+
+// network is a fleet of engines in one process.
+type network struct {
+	scale
+	clock     timer.Service
+	random    *rand.Rand
+	vms       []*vm // in the order of their start
+	byAddress map[netip.AddrPort]*vm
+	byName    map[string]*vm
+	step      time.Duration
+	apart     bool // the regions do not reach each other
+	steps     int
+	traffic   *traffic
+}
+
+// vm is one engine with its inbox and what it has used.
+type vm struct {
+	entry.Engine
+	index    int
+	region   int
+	started  time.Duration
+	now      time.Duration
+	dead     bool
+	inbox    []envelope
+	out      []envelope
+	free     time.Duration // when the uplink is free
+	counters *counter.Set
+	packets  packets
+
+	messages, received, sent [entry.Hint + 1]int
+	used, longest            time.Duration
+}
+
+// envelope is a message or, with a candidate, a document of the platform.
+type envelope struct {
+	due       time.Duration
+	from      *vm
+	to        member.Member
+	kind      entry.Kind
+	body      []byte
+	candidate *fleet.Candidate
+}
+
+func newNetwork(s scale, seed uint64, step time.Duration, t *traffic) *network {
+	n := &network{
+		scale: s, step: step, traffic: t, random: rand.New(rand.NewPCG(seed, 7)), byAddress: map[netip.AddrPort]*vm{}, byName: map[string]*vm{},
+	}
+	n.clock.PauseBound = time.Hour
+	for i := range s.size {
+		n.start(i)
+	}
+	n.clock.Subscribe(step, n.advance)
+	return n
+}
+
+// start starts the process of a VM, in place of the one that ran there before.
+func (n *network) start(i int) *vm {
+	zone := i % n.zones()
+	now := n.clock.Now()
+	v := &vm{index: i, region: zone % n.regions, started: now, counters: counter.New()}
+	at := netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)})
+	v.Self = member.Member{
+		Name: fmt.Sprintf("entry-%04d", i), Zone: zoneName(zone), Region: fmt.Sprintf("region-%d", v.region+1),
+		Size: []uint32{200, 300, 400}[i/11%3], Incarnation: uint64(1_764_000_000_000 + now.Milliseconds()),
+		Control: netip.AddrPortFrom(at, 7000), Data: netip.AddrPortFrom(at, 7001),
+	}
+	v.Epoch = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+	v.Seed, v.MTU, v.FlowCapacity, v.Counters = n.random.Uint64(), 1440, 1000, v.counters
+	if n.traffic != nil {
+		v.FlowCapacity = 20_000
+	}
+	for j := range min(n.size, 3) {
+		v.Contacts = append(v.Contacts, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(j)}), 7000))
+	}
+	v.Send = func(to member.Member, kind entry.Kind, body []byte) {
+		v.out = append(v.out, envelope{from: v, to: to, kind: kind, body: body})
+	}
+	v.packets.connect(v)
+	v.Start(now)
+	if before := n.byName[v.Self.Name]; before != nil {
+		before.dead = true
+		n.vms[i] = v
+	} else {
+		n.vms = append(n.vms, v)
+	}
+	n.byAddress[v.Self.Control], n.byName[v.Self.Name] = v, v
+	return v
+}
+
+// advance runs one step: all engines in parallel, then what they sent is put into the inboxes in the order of the
+// engines, so that a run depends on its seed alone.
+func (n *network) advance(now time.Duration) {
+	n.steps++
+	if n.traffic != nil {
+		n.traffic.open(n, now)
+	}
+	n.each(func(v *vm) { n.run(v, now) })
+	for _, v := range n.vms {
+		for _, e := range v.out {
+			n.carry(now, e)
+		}
+		clear(v.out)
+		v.out = v.out[:0]
+		v.packets.carry(n)
+	}
+}
+
+// run handles what is due for one engine.
+func (n *network) run(v *vm, now time.Duration) {
+	if v.dead {
+		return
+	}
+	kept := v.inbox[:0]
+	for _, e := range v.inbox {
+		if e.due > now {
+			kept = append(kept, e)
+			continue
+		}
+		v.measure(func() { v.handle(now, e) })
+	}
+	clear(v.inbox[len(kept):])
+	v.inbox = kept
+	v.packets.handle(v, now)
+	if (n.steps+v.index)%int(entry.TickPeriod/n.step) == 0 {
+		v.measure(func() { v.Tick(now) })
+	}
+}
+
+// measure adds the processor time of f; longest is the time for which the lock of the engine was held at most.
+func (v *vm) measure(f func()) {
+	before := threadTime()
+	f()
+	d := threadTime() - before
+	v.used += d
+	v.longest = max(v.longest, d)
+}
+
+func (v *vm) handle(now time.Duration, e envelope) {
+	if e.candidate != nil {
+		v.Document(now, e.candidate)
+		return
+	}
+	m, err := entry.Decode(e.from.Self.Name, e.kind, e.body)
+	if err != nil {
+		panic(err) // Engines send what engines can decode.
+	}
+	v.received[e.kind] += len(e.body)
+	v.Message(now, m)
+}
+
+func (n *network) carry(now time.Duration, e envelope) {
+	v := e.from
+	v.messages[e.kind]++
+	v.sent[e.kind] += len(e.body)
+	to := n.byAddress[e.to.Control]
+	if to == nil {
+		to = n.byName[e.to.Name]
+	}
+	if to == nil || to.dead || v.dead || n.apart && to.region != v.region {
+		return
+	}
+	e.due = now + near
+	if to.region != v.region {
+		e.due = now + far
+	}
+	if len(e.body) > bulk {
+		v.free = max(v.free, now) + time.Duration(float64(len(e.body))/uplink*float64(time.Second))
+		e.due += v.free - now + decodeTime
+	}
+	to.inbox = append(to.inbox, e)
+}
+
+// publish lets the platform answer the watches of the VMs that reach says.
+func (n *network) publish(kind fleet.Kind, version uint64, reach func(*vm) bool) {
+	c := fleet.Prepare(kind, "platform", documentOf(kind, n.scale, version))
+	for _, v := range n.vms {
+		if reach(v) && !v.dead {
+			due := n.clock.Now() + decodeTime + time.Duration(n.random.Int64N(int64(platformLag)))
+			v.inbox = append(v.inbox, envelope{due: due, candidate: c})
+		}
+	}
+}
+
+// ready starts a fleet whose members know each other, have nothing left to spread and have both documents in force.
+//
+// Joining one by one would cost most of the time of a run, and the updates of 500 joins take minutes to be spread. So
+// each engine is told about all others and then of a pause, after which it spreads no old updates. A pause raises the
+// incarnation by one, which is why the others are told about the next one.
+func ready(s scale, seed uint64, step time.Duration, t *traffic) *network {
+	n := newNetwork(s, seed, step, t)
+	all := make([]member.Member, s.size)
+	for i, v := range n.vms {
+		all[i] = v.Self
+		all[i].Incarnation++
+	}
+	n.each(func(v *vm) {
+		for first := 0; first < s.size; first += 6 {
+			m := member.Message{Kind: member.Notice, From: all[(v.index+1)%s.size]}
+			m.Updates = slices.Concat(all[first:min(first+6, s.size)])
+			m.Updates = slices.DeleteFunc(m.Updates, func(u member.Member) bool { return u.Name == v.Self.Name })
+			b, err := member.Encode(m)
+			if err != nil {
+				panic(err) // The members are well formed.
+			}
+			v.handle(0, envelope{from: n.vms[(v.index+1)%s.size], kind: entry.Membership, body: b})
+		}
+		v.out = nil
+		v.Pause(0, 0)
+	})
+	n.clock.Advance(4 * time.Second)
+	for _, kind := range fleet.Kinds {
+		c := fleet.Prepare(kind, "platform", documentOf(kind, s, 1))
+		n.each(func(v *vm) { v.Document(n.clock.Now(), c) })
+	}
+	n.clock.Advance(time.Second)
+	if n.count(func(v *vm) bool { return v.Ready() && v.live() == s.size }) != s.size {
+		panic("the fleet is not complete")
+	}
+	n.reset()
+	return n
+}
+
+// each calls f for all engines, several at a time.
+func (n *network) each(f func(*vm)) {
+	var wg sync.WaitGroup
+	for w := range workers {
+		wg.Go(func() {
+			runtime.LockOSThread()
+			defer runtime.UnlockOSThread()
+			for i := w; i < len(n.vms); i += workers {
+				f(n.vms[i])
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func everyone(*vm) bool { return true }
+
+// count returns the number of live engines that f accepts.
+func (n *network) count(f func(*vm) bool) int {
+	found := 0
+	for _, v := range n.vms {
+		if !v.dead && f(v) {
+			found++
+		}
+	}
+	return found
+}
+
+// until advances until all live engines satisfy f, and returns the time it took; at most limit.
+func (n *network) until(limit time.Duration, f func(*vm) bool) time.Duration {
+	start := n.clock.Now()
+	for n.clock.Now()-start < limit {
+		if n.count(f) == n.count(everyone) {
+			break
+		}
+		n.clock.Advance(100 * time.Millisecond)
+	}
+	return n.clock.Now() - start
+}
+
+// reset forgets what was used so far.
+func (n *network) reset() {
+	for _, v := range n.vms {
+		v.messages, v.received, v.sent = [entry.Hint + 1]int{}, [entry.Hint + 1]int{}, [entry.Hint + 1]int{}
+		v.used, v.longest = 0, 0
+	}
+}
+
+func (n *network) controlAddresses() []netip.AddrPort {
+	list := make([]netip.AddrPort, 0, len(n.vms))
+	for _, v := range n.vms {
+		list = append(list, v.Self.Control)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/standin/sizing/parts_test.go
@@ -0,0 +1,221 @@
+package sizing
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/capacity"
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/flow"
+	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/signal"
+	"github.com/masticspar/masticspar/internal/spread"
+)
+
+// perCall returns the processor time of one call of f in µs, from at least 200 ms of calls.
+func perCall(f func()) float64 {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	start, calls := threadTime(), 0
+	for threadTime()-start < 200*time.Millisecond {
+		f()
+		calls++
+	}
+	return float64((threadTime() - start).Nanoseconds()) / 1000 / float64(calls)
+}
+
+// BenchmarkDocument is the cost of the document spreader: decoding and putting documents in force, and keeping them.
+func BenchmarkDocument(b *testing.B) {
+	t := Table{
+		Title: "Inventory, by hosts", Size: "hosts",
+		Columns: []string{"document-B", "prepare-µs", "prepare+accept-µs", "accept-µs", "heap-B"},
+	}
+	for _, s := range []scale{today, tenth, target} {
+		before := heap()
+		p := &fleet.Picture{}
+		version := uint64(1)
+		accept := func(c *fleet.Candidate) {
+			if changed, err := p.Accept(c); !changed || err != nil {
+				b.Fatal(changed, err)
+			}
+		}
+		accept(fleet.Prepare(fleet.Rules, "platform", rulesOf(s, 1)))
+		accept(fleet.Prepare(fleet.Inventory, "platform", inventoryOf(s, 1)))
+		held := heap() - before
+		document := inventoryOf(s, 1)
+		prepare := perCall(func() { fleet.Prepare(fleet.Inventory, "platform", document) })
+		var candidates []*fleet.Candidate
+		for range 20 {
+			version++
+			candidates = append(candidates, fleet.Prepare(fleet.Inventory, "platform", inventoryOf(s, version)))
+		}
+		runtime.LockOSThread()
+		start := threadTime()
+		for _, c := range candidates {
+			accept(c)
+		}
+		took := float64((threadTime() - start).Nanoseconds()) / 1000 / float64(len(candidates))
+		runtime.UnlockOSThread()
+		t.Add(float64(s.hosts), float64(len(document)), prepare, prepare+took, took, held)
+		runtime.KeepAlive(p)
+	}
+	show(&t)
+}
+
+// BenchmarkClaims is the time that the spreader takes for the versions in one message of membership, by the number of
+// peers whose versions it knows.
+func BenchmarkClaims(b *testing.B) {
+	t := Table{Title: "Versions of a peer", Size: "VMs", Columns: []string{"equal-µs", "newer-µs", "tick-µs"}}
+	for _, size := range []int{8, 64, 167, 500} {
+		p := &fleet.Picture{}
+		if _, err := p.Offer(fleet.Rules, "platform", rulesOf(today, 1)); err != nil {
+			b.Fatal(err)
+		}
+		s := spread.Spreader{Picture: p, Send: func(string, spread.Message) {}}
+		s.Start(0, 1)
+		s.Tick(4 * time.Second)
+		names := make([]string, size)
+		say := func(i int, v fleet.Versions) {
+			s.Handle(4*time.Second, names[i%size], spread.Message{Digest: &spread.Digest{Versions: v, Ready: true}})
+		}
+		equal := p.Versions()
+		for i := range names {
+			names[i] = fmt.Sprintf("entry-%04d", i)
+			say(i, equal)
+		}
+		i := 0
+		same := perCall(func() { say(i, equal); i++ })
+		tick := perCall(func() { s.Tick(4 * time.Second) })
+		newer := equal
+		newer.Rules.Number++
+		for j := range names {
+			say(j, newer)
+		}
+		t.Add(float64(size), same, perCall(func() { say(i, newer); i++ }), tick)
+	}
+	show(&t)
+}
+
+// serviceOf returns a service with n hosts.
+func serviceOf(id, n int) *fleet.Service {
+	s := &fleet.Service{ID: uint32(id + 1), Name: serviceName(id), Protocol: packet.TCP, IdleTimeout: time.Hour}
+	for i := range n {
+		number := id*n + i
+		s.Hosts = append(s.Hosts, &fleet.Host{
+			ID: uint32(number + 1), Name: fmt.Sprintf("host-%05d", number), Address: hostAddress(number), Weight: 1, Slots: 2,
+			Connections: 2000,
+		})
+	}
+	return s
+}
+
+// BenchmarkPins is the cost of the owner for each open flow and each new one, and of the forwarder for none.
+func BenchmarkPins(b *testing.B) {
+	t := Table{
+		Title: "Flow table with 5 hosts a service, by open flows", Size: "flows",
+		Columns: []string{"heap-B", "open-µs", "packet-µs", "sweep-µs"},
+	}
+	for _, flows := range []int{10_000, 100_000, 500_000} {
+		before := heap()
+		table := &flow.Table{Capacity: flows}
+		s := serviceOf(0, 5)
+		key := func(i int) packet.Key {
+			return packet.NewKey(packet.TCP, netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(i >> 16), byte(i >> 8)}),
+				uint16(1024+i&255)), listener(0))
+		}
+		runtime.LockOSThread()
+		start := threadTime()
+		for i := range flows {
+			k := key(i)
+			h := table.FromCaller(time.Second, s, &packet.Packet{Key: k, SYN: true, Seq: 1000, Bytes: make([]byte, 40)}).Host
+			table.FromHost(time.Second, s, h, &packet.Packet{Key: k.Reverse(), SYN: true, ACK: true, Seq: 5000, Ack: 1001})
+			table.FromCaller(time.Second, s, &packet.Packet{Key: k, ACK: true, Seq: 1001, Ack: 5001})
+		}
+		open := float64((threadTime() - start).Nanoseconds()) / 1000 / float64(flows)
+		runtime.UnlockOSThread()
+		held := heap() - before
+		i := 0
+		send := perCall(func() {
+			i = (i + 7919) % flows
+			table.FromCaller(time.Minute, s, &packet.Packet{Key: key(i), ACK: true, Seq: 1001, Ack: 5001, Payload: []byte("x")})
+		})
+		if table.Len() != flows {
+			b.Fatalf("%d flows, want %d", table.Len(), flows)
+		}
+		t.Add(float64(flows), held, open, send, perCall(func() { table.Sweep(time.Minute) }))
+		runtime.KeepAlive(table)
+	}
+	show(&t)
+}
+
+// BenchmarkReports is the cost of a member of owner groups for each host of its services, when all of them have open
+// flows and one request a second. A second of the model is one report to each of 7 partners and one report of each.
+func BenchmarkReports(b *testing.B) {
+	t := Table{
+		Title: "Owner group of 8 VMs, services of 5 hosts, by hosts", Size: "hosts",
+		Columns: []string{"part-B", "part-µs", "merge-µs", "second-µs", "heap-B"},
+	}
+	for _, hosts := range []int{20, 90, 275, 570, 5700} {
+		var assignments []capacity.Assignment
+		var owners []capacity.Owner
+		for i := range 8 {
+			owners = append(owners, capacity.Owner{Name: fmt.Sprintf("entry-%04d", i), Size: 300})
+		}
+		for i := range hosts / 5 {
+			assignments = append(assignments, capacity.Assignment{Service: serviceOf(i, 5), Owners: owners})
+		}
+		before := heap()
+		m := &capacity.Model{Self: owners[0].Name, Incarnation: 1_764_000_000_000}
+		m.Configure(0, assignments)
+		now := time.Duration(0)
+		send := func(k signal.Kind, at time.Duration, host int) {
+			m.Observe(at, signal.Event{Kind: k, Service: uint32(host/5 + 1), Host: uint32(host + 1), Elapsed: answerTime})
+		}
+		for h := range hosts {
+			for range 130 {
+				send(signal.Opened, 0, h)
+			}
+		}
+		var part capacity.Report
+		var size, partTime, mergeTime float64
+		seconds := 0
+		runtime.LockOSThread()
+		for start := threadTime(); threadTime()-start < 400*time.Millisecond; seconds++ {
+			for h := range hosts {
+				send(signal.Requested, now, h)
+				send(signal.Answered, now+answerTime, h)
+			}
+			now += time.Second
+			before := threadTime()
+			r := m.Report(now)
+			for _, o := range owners[1:] {
+				part = m.Part(r, o.Name)
+				encoded, err := part.Encode()
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = float64(len(encoded))
+			}
+			middle := threadTime()
+			encoded, _ := part.Encode()
+			for _, o := range owners[1:] {
+				received, err := capacity.Decode(encoded)
+				if err != nil {
+					b.Fatal(err)
+				}
+				m.Merge(now, o.Name, received)
+			}
+			m.Tick(now)
+			partTime += float64((middle - before).Nanoseconds()) / 1000
+			mergeTime += float64((threadTime() - middle).Nanoseconds()) / 1000
+		}
+		runtime.UnlockOSThread()
+		n := float64(seconds)
+		t.Add(float64(hosts), size, partTime/n, mergeTime/n, (partTime+mergeTime)/n, heap()-before)
+		runtime.KeepAlive(m)
+	}
+	show(&t)
+}
--- /dev/null
+++ b/internal/standin/sizing/traffic_test.go
@@ -0,0 +1,123 @@
+package sizing
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/geneve"
+	"github.com/masticspar/masticspar/internal/packet"
+)
+
+// traffic opens flows that stay open, each with one request and one answer. Callers and hosts keep no state: every
+// segment follows from the one that it answers.
+type traffic struct {
+	perVM float64 // new flows per VM and second
+	owed  float64
+	next  int
+}
+
+// datagram is what arrives at a VM; fromPeer says that another VM passed it on.
+type datagram struct {
+	due      time.Duration
+	source   netip.AddrPort
+	fromPeer bool
+	body     []byte
+}
+
+// packets are the data sockets of a VM.
+type packets struct {
+	inbox   []datagram
+	forward []struct {
+		to netip.AddrPort
+		datagram
+	}
+	view  packet.Packet
+	codec geneve.Codec
+}
+
+const answerTime = 40 * time.Millisecond
+
+// open puts the SYNs of a step into the inboxes of random VMs.
+func (t *traffic) open(n *network, now time.Duration) {
+	for t.owed += t.perVM * float64(n.size) * n.step.Seconds(); t.owed >= 1; t.owed-- {
+		t.next++
+		caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(t.next >> 8), byte(t.next)}), uint16(1024+t.next>>16))
+		key := packet.NewKey(packet.TCP, caller, listener(n.random.IntN(n.services)))
+		v := n.vms[n.random.IntN(len(n.vms))]
+		v.packets.inbox = append(v.packets.inbox, datagram{
+			due: now, source: caller, body: wrap(packet.Segment{Key: key, Seq: 1000, SYN: true}, geneve.ToService),
+		})
+	}
+}
+
+func wrap(s packet.Segment, direction int) []byte {
+	inner, err := s.Bytes()
+	if err != nil {
+		panic(err) // The keys are those of IPv4 packets.
+	}
+	return geneve.Append(nil, inner, direction, 0, netip.Addr{})
+}
+
+// connect answers what the engine sends to hosts and callers. The answer comes back to the same VM.
+func (p *packets) connect(v *vm) {
+	p.view.MTU = 1440
+	now := func() time.Duration { return v.now }
+	v.ToHost = func(to netip.AddrPort, b []byte, _ uint64) { p.answer(now()+near, to, b, geneve.ToCaller) }
+	v.ToFabric = func(b []byte, _ uint64) { p.answer(now()+near, netip.AddrPort{}, b, geneve.ToService) }
+	v.ToPeer = func(to netip.AddrPort, b []byte, _ uint64) {
+		p.forward = append(p.forward, struct {
+			to netip.AddrPort
+			datagram
+		}{to, datagram{now() + near, v.Self.Data, true, slices.Clone(b)}})
+	}
+}
+
+// answer puts the reply to a segment into the inbox.
+func (p *packets) answer(due time.Duration, from netip.AddrPort, b []byte, direction int) {
+	inner, err := p.codec.Decode(b)
+	if err != nil || p.view.Parse(inner) != nil {
+		panic("an engine sent a malformed packet")
+	}
+	w := &p.view
+	reply := packet.Segment{Key: w.Key.Reverse(), Seq: w.Ack, Ack: w.Seq + uint32(len(w.Payload)), ACK: true}
+	switch {
+	case w.RST:
+		return
+	case w.SYN && direction == geneve.ToCaller:
+		reply.SYN, reply.Seq, reply.Ack = true, 5000, w.Seq+1
+	case w.SYN:
+		reply.Ack, reply.Payload = w.Seq+1, make([]byte, 100)
+		from = w.Key.DestinationAddr()
+	case len(w.Payload) > 0 && direction == geneve.ToCaller:
+		due += answerTime
+		reply.Payload = make([]byte, 200)
+	default:
+		return // The caller has its answer.
+	}
+	p.inbox = append(p.inbox, datagram{due: due, source: from, body: wrap(reply, direction)})
+}
+
+func (p *packets) handle(v *vm, now time.Duration) {
+	v.now = now
+	inbox := p.inbox
+	p.inbox = nil
+	for _, d := range inbox {
+		if d.due > now {
+			p.inbox = append(p.inbox, d)
+			continue
+		}
+		v.Datagram(now, d.source, d.fromPeer, d.body)
+	}
+}
+
+// carry passes on what the VM forwarded to owners.
+func (p *packets) carry(n *network) {
+	for _, f := range p.forward {
+		control := netip.AddrPortFrom(f.to.Addr(), 7000)
+		if to := n.byAddress[control]; to != nil && !to.dead {
+			to.packets.inbox = append(to.packets.inbox, f.datagram)
+		}
+	}
+	p.forward = p.forward[:0]
+}
--- /dev/null
+++ b/internal/standin/sizing/world_test.go
@@ -0,0 +1,134 @@
+package sizing
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/inventory"
+	"github.com/masticspar/masticspar/internal/rules"
+)
+
+// scale is the size of a fleet.
+type scale struct {
+	size, hosts, services, regions int // size is the number of entry VMs
+}
+
+// The target, one region of it, and two smaller fleets.
+var (
+	today  = scale{8, 18, 4, 1}
+	tenth  = scale{64, 570, 110, 1}
+	region = scale{167, 1900, 367, 1}
+	target = scale{500, 5700, 1100, 3}
+)
+
+const zonesOfTarget = 11
+
+func zoneName(i int) string    { return fmt.Sprintf("availability-zone-%d", i+1) }
+func serviceName(i int) string { return fmt.Sprintf("service-%04d", i+1) }
+
+// zones returns the number of availability zones: 3 or 4 in each region.
+func (s scale) zones() int {
+	if s.regions == 1 {
+		return 3
+	}
+	return zonesOfTarget
+}
+
+// listener is the address of a service.
+func listener(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443)
+}
+
+// hostAddress is the tunnel address of a host.
+func hostAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 64, byte(i >> 8), byte(i)}), 6081)
+}
+
+// inventoryOf returns the encoded inventory; the hosts of a service follow each other over the services.
+func inventoryOf(s scale, version uint64) []byte {
+	d := inventory.Document{Version: version}
+	for i := range s.zones() {
+		d.AvailabilityZones = append(d.AvailabilityZones, zoneName(i))
+	}
+	for i := range s.services {
+		v := inventory.Service{}
+		v.SetDefaults()
+		v.Name, v.Protocol, v.Addresses, v.IdleTimeout = serviceName(i), "tcp", []netip.AddrPort{listener(i)}, 0
+		d.Services = append(d.Services, v)
+	}
+	// The fields that every host has the default of are left out, as in a published document.
+	type host struct {
+		Name    string         `json:"name"`
+		Service string         `json:"service"`
+		Zone    string         `json:"availability-zone"`
+		Address netip.AddrPort `json:"address"`
+		Started time.Time      `json:"started"`
+	}
+	hosts := make([]host, s.hosts)
+	for i := range hosts {
+		hosts[i] = host{
+			Name: fmt.Sprintf("host-%05d", i+1), Service: serviceName(i % s.services), Zone: zoneName(i / s.services % s.zones()),
+			Address: hostAddress(i), Started: time.Date(2026, 11, 1, 0, 0, i%3600, 0, time.UTC),
+		}
+	}
+	return encode(struct {
+		inventory.Document
+		Hosts []host `json:"hosts"`
+	}{d, hosts})
+}
+
+// rulesOf returns encoded rules in which one host in 50 is leaving.
+func rulesOf(s scale, version uint64) []byte {
+	d := rules.Document{Version: version}
+	for i := 0; i < s.hosts; i += 50 {
+		d.Leaving = append(d.Leaving, fmt.Sprintf("host-%05d", i+1))
+	}
+	return encode(d)
+}
+
+func encode(d any) []byte {
+	b, err := json.Marshal(d)
+	if err != nil {
+		panic(err) // The documents are plain data.
+	}
+	return b
+}
+
+func documentOf(kind fleet.Kind, s scale, version uint64) []byte {
+	if kind == fleet.Rules {
+		return rulesOf(s, version)
+	}
+	return inventoryOf(s, version)
+}
+
+// processorTime returns the processor time of the process, the garbage collector included.
+func processorTime() time.Duration { return clockOf(unix.CLOCK_PROCESS_CPUTIME_ID) }
+
+// threadTime returns the processor time of the locked thread.
+func threadTime() time.Duration { return clockOf(unix.CLOCK_THREAD_CPUTIME_ID) }
+
+func clockOf(id int32) time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(id, &t); err != nil {
+		panic(err) // Every Linux kernel has the clocks.
+	}
+	return time.Duration(t.Nano())
+}
+
+// heap returns the live heap bytes.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC() // The first one only queues what has finalizers.
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// show prints a table; the log of a benchmark would cut it after ten lines.
+func show(t *Table) { fmt.Printf("\n%s", t) }
