--- a/internal/standin/sizing/link_test.go
+++ b/internal/standin/sizing/link_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"path/filepath"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -88,24 +87,28 @@
 
 // BenchmarkLink is the cost of links of one process to several others, both ends together, over loopback.
 func BenchmarkLink(b *testing.B) {
-	a, err := authority.New(b.TempDir())
+	a, err := authority.New()
 	if err != nil {
 		b.Fatal(err)
 	}
-	if err := a.Issue("entry"); err != nil {
-		b.Fatal(err)
-	}
+	directory, opened := b.TempDir(), 0
 	var handled atomic.Int64
-	open := func(at netip.AddrPort) (*peer.Link, func()) {
+	open := func(at netip.AddrPort) (*peer.Link, peer.Peer, func()) {
+		to := peer.Peer{Name: fmt.Sprint("entry-", opened), Address: at}
+		opened++
+		if err := a.Write(directory, to.Name); err != nil {
+			b.Fatal(err)
+		}
+		files := authority.PathsIn(directory, to.Name)
 		l, stop, err := peer.New(peer.Config{
-			Address: at, CAFile: filepath.Join(a.Directory, "ca.pem"),
-			CertificateFile: filepath.Join(a.Directory, "entry.pem"), KeyFile: filepath.Join(a.Directory, "entry.key"),
-			Counters: counter.New(), Handle: func(string, peer.Message) { handled.Add(1) },
+			Name: to.Name, Listen: at, CA: files.CA, Certificate: files.Certificate, Key: files.Key,
+			BytesPerSecond: 1 << 30, // The budget is not what is measured.
+			Counters:       counter.New(), Handle: func(peer.Message) { handled.Add(1) },
 		})
 		if err != nil {
 			b.Fatal(err)
 		}
-		return l, stop
+		return l, to, stop
 	}
 	wait := func(n int64) {
 		for end := time.Now().Add(10 * time.Second); handled.Load() < n; time.Sleep(time.Millisecond) {
@@ -120,18 +123,17 @@
 		Title: fmt.Sprintf("Messages of %d bytes, both ends, by messages", body), Size: "messages", Columns: []string{"CPU-ms"},
 	}
 	for _, n := range []int{4, 16, 48} {
-		from, stopFrom := open(freeAddress(b))
+		from, _, stopFrom := open(freeAddress(b))
 		stops := []func(){stopFrom}
-		var to []netip.AddrPort
+		var to []peer.Peer
 		for range n {
-			at := freeAddress(b)
-			_, stop := open(at)
-			to, stops = append(to, at), append(stops, stop)
+			_, p, stop := open(freeAddress(b))
+			to, stops = append(to, p), append(stops, stop)
 		}
 		send := func(count int, body []byte) {
 			for range count {
-				for _, at := range to {
-					from.Send(at, peer.Message{Kind: 1, Body: body})
+				for _, p := range to {
+					from.Send(p, peer.Message{Kind: 1, Body: body})
 				}
 				wait(handled.Load()/int64(n)*int64(n) + int64(n))
 			}
@@ -152,9 +154,9 @@
 	show(&messages)
 
 	at := freeAddress(b)
-	from, stopFrom := open(freeAddress(b))
+	from, _, stopFrom := open(freeAddress(b))
 	defer stopFrom()
-	_, stopTo := open(at)
+	_, to, stopTo := open(at)
 	defer stopTo()
 	var r relay
 	front, stopRelay, err := r.listen(at)
@@ -170,7 +172,7 @@
 		s, t, d := r.bytes[0].Load(), r.bytes[1].Load(), r.datagrams[0].Load()+r.datagrams[1].Load()
 		for range count {
 			before := handled.Load()
-			from.Send(front, peer.Message{Kind: 1, Body: make([]byte, size)})
+			from.Send(peer.Peer{Name: to.Name, Address: front}, peer.Message{Kind: 1, Body: make([]byte, size)})
 			wait(before + 1)
 			time.Sleep(30 * time.Millisecond) // The delayed acknowledgement belongs to the message.
 		}
