Keep links between entry VMs for 5 minutes

Cause: a member pings one of the others each 500 ms, so with 167 members or more a link was closed after 30 s and opened again for almost every ping. A new link with one ping and its answer costs 4,065 bytes, a ping and its answer on an open one 370. Change: the idle time is 5 minutes, above the 250 s of a round with 500 members. Worked out from the 142 KB for both ends of a link (BenchmarkLink), 499 links take about 35 MB in each process. Result: the tests of peer pass; not measured with 500 processes.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -27,7 +27,7 @@
 	lastBackoff   = 5 * time.Second
 	watchPeriod   = 250 * time.Millisecond
 	reloadPeriod  = 5 * time.Second
-	defaultIdle   = 30 * time.Second
+	defaultIdle   = 5 * time.Minute // a member pings each of 500 others about every 4 minutes
 	defaultRate   = 4 << 10
 	burstSeconds  = 5
 	defaultQueue  = 64
@@ -53,7 +53,7 @@
 	Burst int
 	// Queue is the number of messages that wait for one peer; zero selects 64.
 	Queue int
-	// Idle closes a connection that is not used; zero selects 30 s.
+	// Idle closes a connection that is not used; zero selects 5 minutes.
 	Idle time.Duration
 	// Counters counts drops, refusals, retries and bytes; nil discards them.
 	Counters *counter.Set
