Compress documents that entry VMs pass on to each other

An inventory of 5,700 hosts has 1 MB.

A document of 2 KB or more is compressed once, when it is decoded and outside the lock of the engine, and is served to peers in that form. What a receiver unpacks is bounded by the greatest size of a document. Nothing else in the exchange changes.

--- a/internal/fleet/candidate.go
+++ b/internal/fleet/candidate.go
@@ -16,6 +16,7 @@
 	kind      Kind
 	source    string
 	bytes     []byte
+	packed    []byte
 	version   Version
 	inventory *inventory.Document
 	rules     *rules.Document
@@ -38,6 +39,9 @@
 		c.err = errors.Errorf("document kind %d is unknown", kind)
 	}
 	c.version.Hash = HashOf(b)
+	if c.err == nil {
+		c.packed = pack(b)
+	}
 	return c
 }
 
--- /dev/null
+++ b/internal/fleet/packed_test.go
@@ -0,0 +1,69 @@
+package fleet
+
+import (
+	"bytes"
+	"compress/flate"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/masticspar/masticspar/internal/document"
+)
+
+func largeRules(version int) []byte {
+	var names bytes.Buffer
+	for i := range 500 {
+		fmt.Fprintf(&names, `"host-%05d",`, i)
+	}
+	return rulesOf(version, `,"leaving":[`+names.String()+`"last"]`)
+}
+
+// Guards against a document that differs after it was passed on by a peer: equal versions with other content conflict.
+func TestPackedDocumentIsTheSame(t *testing.T) {
+	is := is.New(t)
+	sender, receiver := &Picture{}, &Picture{}
+	accept(t, sender, Rules, largeRules(7))
+	packed := sender.Packed(Rules)
+	is.True(len(packed) > 0 && len(packed) < len(sender.Document(Rules))/2)
+	changed, err := receiver.Accept(PreparePacked(Rules, "peer", packed))
+	is.NoErr(err)
+	is.True(changed)
+	is.Equal(receiver.Versions(), sender.Versions())
+	is.True(bytes.Equal(receiver.Document(Rules), sender.Document(Rules)))
+	is.True(bytes.Equal(receiver.Packed(Rules), packed)) // It can pass the document on in turn.
+}
+
+// Guards against a document that is packed although it is small, and against one that outlives its successor.
+func TestSmallDocumentIsNotPacked(t *testing.T) {
+	is := is.New(t)
+	p := &Picture{}
+	is.Equal(p.Packed(Rules), nil)
+	accept(t, p, Rules, largeRules(1))
+	accept(t, p, Rules, rulesOf(2, ""))
+	is.Equal(p.Packed(Rules), nil)
+	is.Equal(p.Packed(Kind(9)), nil)
+}
+
+// Guards against a peer that makes a process run out of memory or put a part of a document in force.
+func TestFaultyPackedDocumentsAreInvalid(t *testing.T) {
+	is := is.New(t)
+	good := pack(largeRules(1))
+	var huge bytes.Buffer
+	w, err := flate.NewWriter(&huge, flate.BestSpeed)
+	is.NoErr(err)
+	for range 64 {
+		_, _ = w.Write(make([]byte, document.MaxSize))
+	}
+	is.NoErr(w.Close())
+	for _, b := range [][]byte{good[:len(good)/2], append([]byte{0xff}, good...), huge.Bytes(), {}} {
+		p := &Picture{}
+		changed, err := p.Accept(PreparePacked(Rules, "peer", b))
+		is.True(!changed)
+		is.True(errors.Is(err, ErrInvalid))
+	}
+	b, err := unpack(huge.Bytes())
+	is.NoErr(err)
+	is.Equal(len(b), document.MaxSize+1)
+}
--- a/internal/fleet/picture.go
+++ b/internal/fleet/picture.go
@@ -56,6 +56,7 @@
 
 type accepted struct {
 	bytes   []byte
+	packed  []byte
 	version Version
 	source  string
 	at      time.Duration
@@ -105,7 +106,7 @@
 	} else {
 		p.inventory = c.inventory
 	}
-	*running = accepted{bytes: c.bytes, version: c.version, source: c.source, at: p.now()}
+	*running = accepted{bytes: c.bytes, packed: c.packed, version: c.version, source: c.source, at: p.now()}
 	p.build()
 	p.Counters.Add("document-accepted-"+c.kind.String(), 1)
 	return true, nil
--- a/internal/spread/message.go
+++ b/internal/spread/message.go
@@ -35,8 +35,11 @@
 // Document answers a Request.
 type Document struct {
 	Kind fleet.Kind `cbor:"1,keyasint"`
-	// Bytes are the published bytes, empty when the sender has nothing greater than what was asked for.
+	// Bytes are the published bytes of a small document. Bytes and Packed are empty when the sender has nothing greater
+	// than what was asked for.
 	Bytes []byte `cbor:"2,keyasint,omitempty"`
+	// Packed are the published bytes in the form that fleet.Picture.Packed returns.
+	Packed []byte `cbor:"3,keyasint,omitempty"`
 
 	candidate *fleet.Candidate
 }
@@ -44,7 +47,17 @@
 // Prepare decodes a received document, if the message carries one, so that Handle need not do it. The code that
 // receives messages calls it before it takes the lock of the engine.
 func (m *Message) Prepare(from string) {
-	if d := m.Document; d != nil && len(d.Bytes) > 0 {
+	if m.Document != nil {
+		m.Document.prepare(from)
+	}
+}
+
+func (d *Document) prepare(from string) {
+	switch {
+	case d.candidate != nil:
+	case len(d.Packed) > 0:
+		d.candidate = fleet.PreparePacked(d.Kind, from, d.Packed)
+	case len(d.Bytes) > 0:
 		d.candidate = fleet.Prepare(d.Kind, from, d.Bytes)
 	}
 }
--- a/internal/spread/spreader.go
+++ b/internal/spread/spreader.go
@@ -137,7 +137,9 @@
 	case m.Request != nil:
 		d := &Document{Kind: m.Request.Kind}
 		if s.Picture.Versions().Of(d.Kind).Number > m.Request.After {
-			d.Bytes = s.Picture.Document(d.Kind)
+			if d.Packed = s.Picture.Packed(d.Kind); d.Packed == nil {
+				d.Bytes = s.Picture.Document(d.Kind)
+			}
 		}
 		s.Send(from, Message{Document: d})
 	case m.Document != nil:
@@ -188,9 +190,7 @@
 		delete(s.requests, d.Kind)
 	}
 	claim := s.claims[from].Of(d.Kind)
-	if d.candidate == nil && len(d.Bytes) > 0 {
-		d.candidate = fleet.Prepare(d.Kind, from, d.Bytes)
-	}
+	d.prepare(from)
 	if d.candidate != nil {
 		if _, err := s.accept(now, d.candidate); err != nil && len(s.refused) < maxRefused {
 			s.refused[offer{d.Kind, fleet.Version{Number: claim.Number, Hash: d.candidate.Hash()}}] = true
