Test failures of entry VMs and of the platform with real processes

Cause: the demo was the only run with real processes; it used fixed addresses, so two runs collided, and it judged one fixed sequence. Change: a site takes a loopback network of its own, chosen by the process ID. The tests build the programs once and check a killed and a stopped entry VM, a stopped platform, drains by signal and by an operator, and wrong settings. Each needs all flows whole and no request run twice. They wait for conditions, never for a time to be met. Ruled out: taking the stopped VM out of the fabric at once; then no packet would wait in its sockets and the drop with stale-view could not be seen.

--- /dev/null
+++ b/cmd/demo/failure_test.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Guards against flows that break when an entry VM dies without notice.
+func TestEntryKilled(t *testing.T) {
+	x := newTrial(t)
+	x.must(x.start())
+	x.beginFlows()
+	x.must(x.entries[3].cmd.Process.Kill())
+	x.await("death noticed", func() bool { return x.peerState(1, 3) == "dead" && x.peerState(2, 3) == "dead" })
+	x.must(x.setEntries(1, 2))
+	x.endFlows()
+}
+
+// Guards against a resumed entry VM that decides by its outdated view, and against flows that break in the pause.
+func TestEntryStoppedAndContinued(t *testing.T) {
+	x := newTrial(t)
+	x.feedLines = 20 // The feeds outlast the pause.
+	x.must(x.start())
+	x.beginFlows()
+	entry := x.entries[3].cmd.Process
+	x.must(entry.Signal(syscall.SIGSTOP))
+	// The fabric sends to the stopped VM until its readiness checks fail; those packets wait in the sockets.
+	x.await("packets for the stopped VM", func() bool { return x.peerState(1, 3) == "suspect" || x.peerState(1, 3) == "dead" })
+	x.must(x.setEntries(1, 2))
+	time.Sleep(5 * time.Second)
+	x.must(entry.Signal(syscall.SIGCONT))
+	x.await("pause counted", func() bool {
+		m := x.metrics(3)
+		return m["pauses"] >= 1 && m["dropped-stale-view"] >= 1
+	})
+	x.must(x.waitReady(3))
+	log := x.entryLog(3)
+	paused := strings.Index(log, "process-paused")
+	if paused < 0 || !strings.Contains(log[paused:], "view-refreshed") {
+		t.Error("no refresh after the pause in the log of entry-3")
+	}
+	x.await("return noticed", func() bool { return x.peerState(1, 3) == "alive" && x.peerState(2, 3) == "alive" })
+	x.must(x.setEntries(1, 2, 3))
+	x.endFlows()
+}
+
+// Guards against processes that cannot start, or that keep old documents, while the platform does not answer.
+func TestPlatformStopped(t *testing.T) {
+	x := newTrial(t)
+	x.must(x.prepare())
+	x.must(x.startEntry(1))
+	x.must(x.waitReady(1))
+	x.rules.Version++
+	x.must(x.publish("rules", x.rules))
+	x.await("update at entry-1", func() bool { return x.status(1).Rules.Version == x.rules.Version })
+	x.must(x.platform.cmd.Process.Signal(syscall.SIGSTOP))
+	x.must(x.startEntries(2, 3))
+	x.must(x.setEntries(1, 2, 3))
+	x.beginFlows()
+	x.must(x.startEntry(4))
+	x.must(x.waitReady(4))
+	x.must(x.setEntries(1, 2, 3, 4))
+	for _, i := range []int{2, 3, 4} {
+		s := x.status(i)
+		if s.Rules.Version != x.rules.Version || s.Inventory.Version != x.inventory.Version {
+			t.Errorf("%s has inventory %d and rules %d", s.Name, s.Inventory.Version, s.Rules.Version)
+		}
+		if !strings.HasPrefix(s.Rules.Source, "entry-") {
+			t.Errorf("%s has the rules from %q, want a peer", s.Name, s.Rules.Source)
+		}
+	}
+	x.endFlows()
+}
+
+// drained waits for the end of a draining entry VM, which the fabric leaves out once it is not ready.
+func (x *trial) drained(i int, others ...int) {
+	x.Helper()
+	x.await("not ready", func() bool { return exchange("GET", "http://"+x.operator(i)+"/ready", nil, nil) != nil })
+	x.must(x.setEntries(others...))
+	if code := x.exitCode(x.entries[i]); code != 0 {
+		x.Errorf("exit code %d after the drain, want 0", code)
+	}
+	if !strings.Contains(x.entryLog(i), "drained") {
+		x.Errorf("%s did not drain", entryName(i))
+	}
+}
+
+// Guards against a planned stop that breaks flows or looks like a failure to whoever started the process.
+func TestDrainBySignal(t *testing.T) {
+	x := newTrial(t)
+	x.must(x.start())
+	x.beginFlows()
+	x.must(x.entries[2].cmd.Process.Signal(syscall.SIGTERM))
+	x.drained(2, 1, 3)
+	x.endFlows()
+}
+
+// Guards against a drain by an operator that differs from one by signal.
+func TestDrainByOperator(t *testing.T) {
+	x := newTrial(t)
+	x.must(x.start())
+	x.beginFlows()
+	if code, text := x.run("masticsparctl", "drain", "--operator", x.operator(3)); code != 0 {
+		t.Fatalf("masticsparctl drain: exit code %d: %s", code, text)
+	}
+	x.drained(3, 1, 2)
+	x.endFlows()
+}
+
+// Guards against wrong settings that are accepted, or refused without saying what has to be changed.
+func TestWrongSettings(t *testing.T) {
+	x := newTrial(t)
+	x.must(x.chooseNetwork())
+	x.must(x.writeSettings(1))
+	good, err := os.ReadFile(x.settingsFile(1))
+	x.must(err)
+	for _, c := range []struct{ from, to, field, want string }{
+		{`"mtu": 1440`, `"mtu": 100`, "mtu", "an integer from 1280 to 8900"},
+		{`"flow-capacity": 500000`, `"flow-capacity": 1`, "flow-capacity", "an integer from 1000 to 10000000"},
+		{`"drain-timeout": "30s"`, `"drain-timeout": "1h"`, "drain-timeout", "from 1s to 10m0s"},
+		{`"mtu"`, `"mtus"`, "mtus", "unknown"},
+		{`"mtu": 1440`, `"mtu": "x"`, "mtu", "an integer"},
+	} {
+		text := strings.Replace(string(good), c.from, c.to, 1)
+		if text == string(good) {
+			t.Fatalf("no %s in the settings: %s", c.from, good)
+		}
+		file := filepath.Join(x.directory, "wrong.json")
+		x.must(os.WriteFile(file, []byte(text), 0o600))
+		code, out := x.run("masticspard", "--settings", file)
+		if code != 2 {
+			t.Errorf("%s: exit code %d, want 2", c.to, code)
+		}
+		for _, part := range []string{file, c.field, c.want} {
+			if !strings.Contains(out, part) {
+				t.Errorf("%s: %q is missing in %s", c.to, part, out)
+			}
+		}
+	}
+}
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	s := &site{binaries: binaries, directory: directory, started: time.Now()}
+	s := &site{binaries: binaries, directory: directory, started: time.Now(), plan: demoPlan, feedLines: 16, log: func(line string) { fmt.Println(line) }}
 	defer func() {
 		s.stop()
 		if keep {
--- /dev/null
+++ b/cmd/demo/main_test.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/operator"
+	"github.com/masticspar/masticspar/internal/standin/caller"
+)
+
+// binaries is the directory of the programs under test.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "masticspar-bin-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	args := []string{"build", "-o", directory + "/"}
+	for _, name := range []string{
+		"masticspard", "masticsparctl", "standin-platform", "standin-fabric", "standin-backend", "standin-caller",
+	} {
+		args = append(args, "github.com/masticspar/masticspar/cmd/"+name)
+	}
+	if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
+		return 1
+	}
+	binaries = directory
+	return m.Run()
+}
+
+// trial is a site under test.
+type trial struct {
+	testing.TB
+	*site
+}
+
+func newTrial(t *testing.T) *trial {
+	t.Helper()
+	s := &site{
+		binaries: binaries, directory: t.TempDir(), started: time.Now(), plan: []load{{40, 160}, {10, 40}},
+		feedLines: 10, log: func(line string) { t.Log(line) },
+	}
+	x := &trial{TB: t, site: s}
+	t.Cleanup(func() {
+		s.stop()
+		if t.Failed() {
+			x.logFiles()
+		}
+	})
+	return x
+}
+
+// logFiles shows what the entry VMs logged.
+func (x *trial) logFiles() {
+	files, _ := filepath.Glob(filepath.Join(x.directory, "entry-*.log"))
+	for _, f := range files {
+		b, err := os.ReadFile(f)
+		x.Logf("%s: %v\n%s", filepath.Base(f), err, b)
+	}
+}
+
+func (x *trial) must(err error) {
+	x.Helper()
+	if err != nil {
+		x.Fatal(err)
+	}
+}
+
+func (x *trial) await(what string, condition func() bool) {
+	x.Helper()
+	x.must(until(what, patience, condition))
+}
+
+// beginFlows starts the callers and waits until answers have come.
+func (x *trial) beginFlows() {
+	x.Helper()
+	x.must(x.startCallers())
+	x.await("answers", func() bool {
+		var r caller.Report
+		return exchange("GET", "http://"+x.callerControl(0)+"/report", nil, &r) == nil && r.Whole >= 20
+	})
+}
+
+// endFlows waits for the callers and checks that each of their flows was answered whole.
+func (x *trial) endFlows() {
+	x.Helper()
+	for _, p := range x.callers {
+		x.must(p.wait(patience))
+	}
+	total, failures, err := x.tally()
+	x.must(err)
+	if total.Whole != x.opened || total.Opened != x.opened {
+		x.Errorf("%d of %d flows whole, %d refused, broken %v: %+v",
+			total.Whole, x.opened, total.Refused, total.Broken, failures)
+	}
+	x.must(x.checkRepeated())
+	if len(x.failures) > 0 {
+		x.Error(x.failures)
+	}
+}
+
+func (x *trial) status(i int) (s operator.Status) {
+	_ = exchange("GET", "http://"+x.operator(i)+"/status", nil, &s) // The zero value meets no condition.
+	return s
+}
+
+// peerState returns what entry VM i believes about entry VM j.
+func (x *trial) peerState(i, j int) string {
+	for _, p := range x.status(i).Peers {
+		if p.Name == entryName(j) {
+			return p.State
+		}
+	}
+	return ""
+}
+
+func (x *trial) entryLog(i int) string {
+	b, err := os.ReadFile(filepath.Join(x.directory, entryName(i)+".log"))
+	x.must(err)
+	return string(b)
+}
+
+// exitCode waits for the end of the process.
+func (x *trial) exitCode(p *process) int {
+	x.Helper()
+	select {
+	case <-p.done:
+	case <-time.After(patience):
+		x.Fatalf("%s did not end", p.name)
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// run runs a program to its end and returns its exit code and what it wrote.
+func (x *trial) run(program string, args ...string) (int, string) {
+	x.Helper()
+	p, err := x.launch("run-"+program, program, args...)
+	x.must(err)
+	code := x.exitCode(p)
+	var text strings.Builder
+	for _, file := range []string{p.output, filepath.Join(x.directory, p.name+".log")} {
+		b, err := os.ReadFile(file)
+		x.must(err)
+		text.Write(b)
+	}
+	return code, text.String()
+}
--- a/cmd/demo/process.go
+++ b/cmd/demo/process.go
@@ -109,6 +109,9 @@
 	return errors.Trace(json.NewDecoder(response.Body).Decode(result))
 }
 
+// patience is how long a condition is waited for; it is generous, because test machines are noisy.
+const patience = 20 * time.Second
+
 // until polls a condition.
 func until(what string, timeout time.Duration, condition func() bool) error {
 	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
@@ -120,5 +123,5 @@
 }
 
 func (s *site) note(format string, args ...any) {
-	fmt.Printf("%5.1fs  %s\n", time.Since(s.started).Seconds(), fmt.Sprintf(format, args...))
+	s.log(fmt.Sprintf("%5.1fs  %s", time.Since(s.started).Seconds(), fmt.Sprintf(format, args...)))
 }
--- a/cmd/demo/site.go
+++ b/cmd/demo/site.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -18,11 +19,26 @@
 )
 
 const (
-	platformAddress = "127.0.0.1:7070"
-	fabricAddress   = "127.0.0.1:6081"
-	fabricControl   = "127.0.0.1:7001"
-	serviceTime     = 20 * time.Millisecond
-	slots           = 2
+	serviceTime = 20 * time.Millisecond
+	slots       = 2
+)
+
+// Last bytes of the addresses in the network of a site.
+const (
+	commonByte = 1  // platform and fabric
+	entryByte  = 10 // entry-1 is at 11
+	callerByte = 20
+	hostByte   = 64 // first of the prefix of the backend servers
+)
+
+// Ports; the network of a site is its own, so they can be fixed.
+const (
+	fabricPort   = 6081
+	dataPort     = 6082
+	controlPort  = 6083
+	operatorPort = 6084
+	platformPort = 7070
+	standinPort  = 7001 // HTTP control of the fabric, the callers and the backend servers
 )
 
 var zones = []string{"wa-perth", "wa-south", "wa-north"}
@@ -31,29 +47,33 @@
 type group struct {
 	service string
 	address string // of the service
-	first   netip.AddrPort
-	control string
+	first   byte   // last byte of the address of the first host
 	speeds  []float64
 }
 
 var groups = []*group{
-	{
-		service: "standdesk", address: "198.51.100.1:443", first: netip.MustParseAddrPort("127.1.0.1:6081"),
-		control: "127.0.0.1:7002", speeds: []float64{1, 2, 3, 4, 2},
-	},
-	{
-		service: "photointake", address: "198.51.100.2:443", first: netip.MustParseAddrPort("127.1.1.1:6081"),
-		control: "127.0.0.1:7003", speeds: []float64{1, 3},
-	},
+	{service: "standdesk", address: "198.51.100.1:443", first: hostByte, speeds: []float64{1, 2, 3, 4, 2}},
+	{service: "photointake", address: "198.51.100.2:443", first: hostByte + 32, speeds: []float64{1, 3}},
 }
 
+// load is what the callers of one service do.
+type load struct{ rate, total int }
+
+var demoPlan = []load{{140, 1900}, {30, 400}}
+
 // site is the whole path.
 type site struct {
 	binaries, directory string
+	network             netip.Addr // the first address of the loopback network of this site, 256 addresses long
 	started             time.Time
 	processes           []*process
+	platform            *process
 	entries             map[int]*process
 	callers             []*process
+	plan                []load // of the callers of each group
+	opened              int    // flows that the callers open
+	feedLines           int    // of each feed, two in a second
+	log                 func(line string)
 	inventory           inventory.Document
 	rules               rules.Document
 	failures            []string
@@ -61,35 +81,71 @@
 
 func (g *group) host(i int) string { return fmt.Sprintf("%s-%d", g.service, i) }
 
-func (g *group) hostAddress(i int) netip.AddrPort {
-	a := g.first.Addr()
-	for range i {
-		a = a.Next()
+// address returns an address in the network of the site.
+func (s *site) address(last byte, port uint16) netip.AddrPort {
+	a := s.network.As4()
+	a[3] = last
+	return netip.AddrPortFrom(netip.AddrFrom4(a), port)
+}
+
+func (s *site) fabricAddress() string { return s.address(commonByte, fabricPort).String() }
+
+func (s *site) hostAddress(g *group, i int) netip.AddrPort {
+	return s.address(g.first+byte(i), fabricPort)
+}
+
+// control returns the HTTP control address of the backend servers of the group.
+func (s *site) control(g *group) string { return s.address(g.first, standinPort).String() }
+
+func (s *site) entryAddress(i int, port uint16) netip.AddrPort {
+	return s.address(entryByte+byte(i), port)
+}
+
+func (s *site) operator(i int) string { return s.entryAddress(i, operatorPort).String() }
+
+const networkTries = 50
+
+// chooseNetwork selects a loopback network by the process ID, so that several sites can run at the same time.
+func (s *site) chooseNetwork() error {
+	for i := range networkTries {
+		n := os.Getpid()*networkTries + i
+		s.network = netip.AddrFrom4([4]byte{127, byte(2 + n>>8%250), byte(n), 0})
+		// A site holds this address as long as it runs.
+		conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.address(commonByte, fabricPort)))
+		if err == nil {
+			return errors.Trace(conn.Close())
+		}
 	}
-	return netip.AddrPortFrom(a, g.first.Port())
+	return errors.New("no loopback network is free")
 }
 
+// start starts the site with 3 entry VMs.
 func (s *site) start() error {
+	if err := s.prepare(); err != nil {
+		return err
+	}
+	return s.startEntries(1, 2, 3)
+}
+
+// prepare starts everything but the entry VMs and publishes the first documents.
+func (s *site) prepare() error {
 	s.entries = map[int]*process{}
+	if err := s.chooseNetwork(); err != nil {
+		return err
+	}
 	ca, err := authority.New(s.directory)
 	if err != nil {
 		return err
 	}
-	if _, err := s.launch("platform", "standin-platform", "--listen", platformAddress); err != nil {
+	if s.platform, err = s.launch("platform", "standin-platform", "--listen", s.platformAddress()); err != nil {
 		return err
 	}
-	if _, err := s.launch("fabric", "standin-fabric", "--address", fabricAddress, "--control", fabricControl); err != nil {
+	if _, err := s.launch("fabric", "standin-fabric", "--address", s.fabricAddress(), "--control", s.fabricControl(),
+		"--hosts", netip.PrefixFrom(s.address(hostByte, 0).Addr(), 26).String()); err != nil {
 		return err
 	}
 	for _, g := range groups {
-		args := []string{
-			"--name", g.service, "--count", fmt.Sprint(len(g.speeds)), "--address", g.first.String(), "--fabric", fabricAddress,
-			"--control", g.control, "--service", g.address, "--service-time", serviceTime.String(),
-		}
-		for _, v := range g.speeds {
-			args = append(args, "--speed", fmt.Sprint(v))
-		}
-		if _, err := s.launch(g.service, "standin-backend", args...); err != nil {
+		if err := s.startBackend(g); err != nil {
 			return err
 		}
 	}
@@ -101,41 +157,57 @@
 			return err
 		}
 	}
-	if err := s.publishFirst(); err != nil {
-		return err
+	return s.publishFirst()
+}
+
+func (s *site) startBackend(g *group) error {
+	args := []string{
+		"--name", g.service, "--count", fmt.Sprint(len(g.speeds)), "--address", s.hostAddress(g, 0).String(),
+		"--fabric", s.fabricAddress(), "--control", s.control(g), "--service", g.address,
+		"--service-time", serviceTime.String(),
 	}
-	for _, i := range []int{1, 2, 3} {
+	for _, v := range g.speeds {
+		args = append(args, "--speed", fmt.Sprint(v))
+	}
+	_, err := s.launch(g.service, "standin-backend", args...)
+	return err
+}
+
+// startEntries starts entry VMs, waits until they are ready and tells the fabric.
+func (s *site) startEntries(list ...int) error {
+	for _, i := range list {
 		if err := s.startEntry(i); err != nil {
 			return err
 		}
 	}
-	for _, i := range []int{1, 2, 3} {
+	for _, i := range list {
 		if err := s.waitReady(i); err != nil {
 			return err
 		}
 	}
-	s.note("3 entry VMs are ready")
-	return s.setEntries(1, 2, 3)
+	s.note("%d entry VMs are ready", len(list))
+	return s.setEntries(list...)
 }
 
-func entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
+func (s *site) platformAddress() string { return s.address(commonByte, platformPort).String() }
 
-func entryAddress(i, port int) string { return fmt.Sprintf("127.0.1.%d:%d", i, port) }
+func (s *site) fabricControl() string { return s.address(commonByte, standinPort).String() }
+
+func entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
 
 func (s *site) writeSettings(i int) error {
 	v := settings.Settings{}
 	v.SetDefaults()
-	address := func(port int) netip.AddrPort { return netip.MustParseAddrPort(entryAddress(i, port)) }
 	v.Name, v.Region, v.AvailabilityZone = entryName(i), "wa", zones[i%len(zones)]
-	v.FabricAddress, v.DataAddress = address(6081), address(6082)
-	v.ControlAddress, v.OperatorAddress = address(6083), address(6084)
-	v.Fabric = []netip.AddrPort{netip.MustParseAddrPort(fabricAddress)}
+	v.FabricAddress, v.DataAddress = s.entryAddress(i, fabricPort), s.entryAddress(i, dataPort)
+	v.ControlAddress, v.OperatorAddress = s.entryAddress(i, controlPort), s.entryAddress(i, operatorPort)
+	v.Fabric = []netip.AddrPort{s.address(commonByte, fabricPort)}
 	for _, c := range []int{1, 2, 3} {
 		if c != i {
-			v.Contacts = append(v.Contacts, netip.MustParseAddrPort(entryAddress(c, 6083)))
+			v.Contacts = append(v.Contacts, s.entryAddress(c, controlPort))
 		}
 	}
-	v.Platform = "http://" + platformAddress
+	v.Platform = "http://" + s.platformAddress()
 	v.CAFile = filepath.Join(s.directory, "ca.pem")
 	v.CertificateFile = filepath.Join(s.directory, entryName(i)+".pem")
 	v.KeyFile = filepath.Join(s.directory, entryName(i)+".key")
@@ -155,8 +227,8 @@
 }
 
 func (s *site) waitReady(i int) error {
-	return until(entryName(i)+" ready", 10*time.Second, func() bool {
-		return exchange("GET", "http://"+entryAddress(i, 6084)+"/ready", nil, nil) == nil
+	return until(entryName(i)+" ready", patience, func() bool {
+		return exchange("GET", "http://"+s.operator(i)+"/ready", nil, nil) == nil
 	})
 }
 
@@ -164,9 +236,9 @@
 func (s *site) setEntries(list ...int) error {
 	addresses := make([]string, 0, len(list))
 	for _, i := range list {
-		addresses = append(addresses, entryAddress(i, 6081))
+		addresses = append(addresses, s.entryAddress(i, fabricPort).String())
 	}
-	return exchange("PUT", "http://"+fabricControl+"/entries", addresses, nil)
+	return exchange("PUT", "http://"+s.fabricControl()+"/entries", addresses, nil)
 }
 
 // publishFirst publishes an inventory without the last host of the first service.
@@ -185,7 +257,7 @@
 		}
 	}
 	s.rules = rules.Document{Version: 1}
-	if err := until("platform", 5*time.Second, func() bool { return s.publish("inventory", s.inventory) == nil }); err != nil {
+	if err := until("platform", patience, func() bool { return s.publish("inventory", s.inventory) == nil }); err != nil {
 		return err
 	}
 	return s.publish("rules", s.rules)
@@ -193,11 +265,11 @@
 
 func (s *site) addHost(g *group, i int) {
 	s.inventory.Hosts = append(s.inventory.Hosts, inventory.Host{
-		Name: g.host(i), Service: g.service, AvailabilityZone: zones[i%len(zones)], Address: g.hostAddress(i),
+		Name: g.host(i), Service: g.service, AvailabilityZone: zones[i%len(zones)], Address: s.hostAddress(g, i),
 		Weight: 1, Slots: slots, Connections: 2000, Started: time.Now().Add(-time.Hour),
 	})
 }
 
 func (s *site) publish(kind string, v any) error {
-	return exchange("POST", "http://"+platformAddress+"/publish/"+kind, v, nil)
+	return exchange("POST", "http://"+s.platformAddress()+"/publish/"+kind, v, nil)
 }
