--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -51,6 +51,10 @@
 // the host of a flow that the published weights no longer select.
 func TestUDPFlowsStayWhenOwnersDrain(t *testing.T) {
 	t.Parallel()
+	finish(t, drainUDPOwners(), nil)
+}
+
+func drainUDPOwners() *site.Site {
 	c := site.QuokkaLane(117)
 	c.Services = []site.Service{{Name: "ladder", Protocol: "udp", Hosts: 6, ServiceTime: 50 * time.Millisecond}}
 	s := run(c, []site.Callers{{Services: []string{"ladder"}, Plan: caller.Plan{
@@ -62,7 +66,28 @@
 		s.VM(name).Drain()
 		s.Run(6 * time.Second)
 	}
-	finish(t, s, nil)
+	return s
+}
+
+// Guards against failing runs that cannot be repeated, because the engine sends in the order of a map.
+func TestSameSeedGivesSameRun(t *testing.T) {
+	t.Parallel()
+	trace := func(s *site.Site) string {
+		out := fmt.Sprint(s.Broken)
+		for _, c := range s.Callers {
+			out += fmt.Sprintf("%+v", c.Report())
+		}
+		for _, v := range s.VMs {
+			out += fmt.Sprint(v.MessageBytes, v.Counters.Values())
+		}
+		return out
+	}
+	first := trace(drainUDPOwners())
+	for range 3 {
+		if again := trace(drainUDPOwners()); again != first {
+			t.Fatalf("two runs of one seed differ:\n%s\n%s", first, again)
+		}
+	}
 }
 
 // Guards against new flows on leaving hosts through an entry VM that has just joined.
@@ -103,7 +128,7 @@
 			s.Run(20 * time.Second)
 			inForce(t, s)
 			finish(t, s, nil)
-			noNewFlow(t, s, max(published, published+pause-pause/4-leaveBound), hosts...)
+			noNewFlow(t, s, published, hosts...)
 		})
 	}
 }
--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -91,7 +93,9 @@
 
 // flushHints sends up to perMember messages to each member.
 func (e *Engine) flushHints(perMember int) {
-	for name, list := range e.hints.byMember {
+	// The order of a map would make equal seeds give different runs.
+	for _, name := range slices.Sorted(maps.Keys(e.hints.byMember)) {
+		list := e.hints.byMember[name]
 		to, ok := e.members.Get(name)
 		if !ok || !to.Live() {
 			delete(e.hints.byMember, name)
