--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -18,6 +18,7 @@
 	defaultTimeout = 60 * time.Second // longer than a search of an entry VM plus the retries of the endpoint
 	lingerTime     = 5 * time.Second  // time to answer repeated FINs of the server
 	datagramRetry  = time.Second
+	sweepPeriod    = 20 * time.Millisecond // much shorter than the first retransmission timeout
 	firstPort      = 1024
 	portCount      = 60000
 	latencyLimit   = int64(10 * time.Minute / time.Microsecond)
@@ -64,15 +65,16 @@
 	// is not called.
 	Ended func(key packet.Key, outcome, host string)
 
-	view    packet.Packet
-	flows   map[packet.Key]*flow // by the key of received packets
-	order   []*flow              // as opened, because the order of a map would differ between runs of one seed
-	number  int
-	next    time.Duration
-	started bool
-	pending int // flows without an outcome
-	counts  counts
-	latency *hdrhistogram.Histogram
+	view     packet.Packet
+	flows    map[packet.Key]*flow // by the key of received packets
+	order    []*flow              // as opened, because the order of a map would differ between runs of one seed
+	number   int
+	next     time.Duration
+	started  bool
+	sweepDue time.Duration
+	pending  int // flows without an outcome
+	counts   counts
+	latency  *hdrhistogram.Histogram
 }
 
 type flow struct {
@@ -104,6 +106,10 @@
 		c.open(now)
 		c.next += time.Duration(c.Random.ExpFloat64() / c.Plan.Rate * float64(time.Second))
 	}
+	if now < c.sweepDue {
+		return
+	}
+	c.sweepDue = now + sweepPeriod
 	timeout := c.Plan.Timeout
 	if timeout == 0 {
 		timeout = defaultTimeout
--- a/internal/standin/site/check.go
+++ b/internal/standin/site/check.go
@@ -15,6 +15,8 @@
 	start   uint32 // initial sequence number of the caller
 	host    string // the host that got payload
 	refused bool
+
+	accepted []string // hosts that accepted a connection for it
 }
 
 func (s *Site) violate(format string, a ...any) {
@@ -72,7 +74,11 @@
 			s.violate("the refused flow %s had payload at %s", key, host)
 		}
 	default:
-		s.Broken = append(s.Broken, Broken{Time: s.Now, Key: key, Cause: outcome, Host: host})
+		b := Broken{Time: s.Now, Key: key, Cause: outcome, Host: host}
+		if f != nil {
+			b.Accepted = f.accepted
+		}
+		s.Broken = append(s.Broken, b)
 	}
 }
 
--- a/internal/standin/site/network.go
+++ b/internal/standin/site/network.go
@@ -114,6 +114,9 @@
 		h.Datagram(s.Now, source, b)
 		if h.Statistics.Accepted > accepted {
 			h.LastNew = s.Now
+			if f := s.flows[s.view.Key]; f != nil {
+				f.accepted = append(f.accepted, h.Name)
+			}
 		}
 	})
 }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -69,6 +69,8 @@
 	Cause string
 	// Host is the host that got the payload, empty when none did.
 	Host string
+	// Accepted are the hosts that accepted a connection for the flow.
+	Accepted []string
 }
 
 // Host is a backend server of the site.
