--- a/internal/capacity/learn.go
+++ b/internal/capacity/learn.go
@@ -18,6 +18,8 @@
 	coldFactor = 0.1
 	// weightFloor keeps the rank of a host that fails defined, as a share of the prior.
 	weightFloor = 0.01
+	// reducedBelow is the ratio of weight and capacity from which a host gets first-choice flows only.
+	reducedBelow = 0.9
 	// maxGap is the time between two ticks above which the sums span a pause of the process and are discarded.
 	maxGap = 3 * time.Second
 
@@ -30,8 +32,12 @@
 	stalledCompletions = 32
 	// failedAttempts is the least number of attempts for the failure ratio to count.
 	failedAttempts = 3
-	trialInterval  = 5 * time.Second
-	trialMax       = 60 * time.Second
+	// failedInRow is hardly ever reached by a host that fails in less than a fifth of the attempts.
+	failedInRow = 5
+	// reportLag is the time until a completion is known to the whole owner group: a report interval, a tick and delays.
+	reportLag     = 2500 * time.Millisecond
+	trialInterval = 5 * time.Second
+	trialMax      = 60 * time.Second
 	// recovery is the time in which a host that was bad gets its full weight back. One answered trial flow is little
 	// evidence, and a host that answers some flows and refuses most must not get its full share for it.
 	recovery = 5 * time.Second
@@ -45,15 +51,19 @@
 
 	samples  float64 // completions so far, up to learnedSamples
 	capacity float64 // requests/s; zero when unknown
-	weight   float64 // capacity with all factors
+	weight   float64 // capacity or prior with all factors
+	reduced  bool    // a factor other than max-share lowers the weight well below the capacity
 
-	patience  time.Duration // without completions until the host is stalled
+	stallTime time.Duration // without completions until the host is stalled
 	progress  time.Duration // last completion, or when the requests became outstanding
 	bad       bool
+	streak    int           // own failures since the last answer
 	recovered time.Duration // when the host stopped being bad; zero if it never was
 	trialAt   time.Duration
-	backoff   time.Duration
-	filled    bool // weight is bounded by max-share
+	// provenFrom is when completions have surely followed the failures that made the host bad.
+	provenFrom time.Duration
+	backoff    time.Duration
+	filled     bool // weight is bounded by max-share
 }
 
 // Tick updates estimates and weights; it is called once a second.
@@ -75,10 +85,10 @@
 				h.gross, h.answered, h.answers = 0, 0, 0
 			}
 			h.advance(now)
-			h.listen(gap)
+			h.estimateSilent(gap)
 			h.learn(now, decay, gap.Seconds())
-			h.judge(now)
-			h.settle(now)
+			h.detectBad(now)
+			h.reclaim(now)
 			// A path that became slower must not keep its old minimum for ever.
 			h.handshake += h.handshake / 64
 		}
@@ -96,7 +106,7 @@
 	h.seconds = h.seconds*decay + seconds
 	h.samples = min(learnedSamples, h.samples+float64(s.completions))
 	if h.bad {
-		if s.completions > 0 {
+		if s.completions > 0 && now >= h.provenFrom {
 			h.bad, h.recovered, h.failures = false, now, 0
 		}
 		return
@@ -141,9 +151,9 @@
 	return rate / high
 }
 
-// judge finds out whether the host is bad. A trial flow is scheduled in every member, so that a new sender continues
+// detectBad excludes a host that stalls or fails. A trial flow is scheduled in every member, so that a new sender continues
 // with the backoff of the last one.
-func (h *host) judge(now time.Duration) {
+func (h *host) detectBad(now time.Duration) {
 	if h.bad {
 		if !h.sender && now >= h.trialAt {
 			h.trialSent(now)
@@ -155,11 +165,17 @@
 		ratio = 0.25
 	}
 	attempts := h.completions + h.failures
-	failing := attempts >= failedAttempts && h.failures >= ratio*attempts
-	if !failing && !h.stalled(now) {
-		return
+	switch {
+	case h.stalled(now):
+		h.exclude(now, now)
+	case attempts >= failedAttempts && h.failures >= ratio*attempts:
+		h.exclude(now, now+reportLag)
 	}
-	h.bad = true
+}
+
+// exclude makes the host bad. Completions count as its recovery after the given time.
+func (h *host) exclude(now, provenFrom time.Duration) {
+	h.bad, h.streak, h.provenFrom = true, 0, provenFrom
 	// A host that soon fails again continues with its previous backoff.
 	if h.backoff == 0 || now-h.recovered > trialMax {
 		h.backoff = trialInterval
@@ -169,7 +185,7 @@
 
 // stalled reports whether requests are outstanding and none completes.
 func (h *host) stalled(now time.Duration) bool {
-	after := max(stalledAfter, h.patience)
+	after := max(stalledAfter, h.stallTime)
 	if now < h.unhealthyUntil {
 		after /= 2
 	}
@@ -186,9 +202,9 @@
 	prior, median := st.quartiles()
 	st.learned = prior > 0
 	for _, h := range st.hosts {
-		h.patience = 0
+		h.stallTime = 0
 		if median > 0 {
-			h.patience = time.Duration(min(stalledCompletions/median, trialMax.Seconds()) * float64(time.Second))
+			h.stallTime = time.Duration(min(stalledCompletions/median, trialMax.Seconds()) * float64(time.Second))
 		}
 		base := prior
 		if !st.learned {
@@ -201,8 +217,9 @@
 			continue
 		}
 		h.weight = max(base*h.success()*m.rampUp(now, st, h), weightFloor*prior)
+		h.reduced = h.weight < reducedBelow*base
 	}
-	st.fill()
+	st.applyMaxShare()
 }
 
 // quartiles returns the lowest quartile and the median of the learned capacities, zero when there are none.
@@ -250,9 +267,9 @@
 	return min(1, coldFactor+(1-coldFactor)*max(0, age.Seconds())/full.Seconds())
 }
 
-// fill lowers the weights of hosts above their share and gives the rest to the others in proportion. Shares that add
+// applyMaxShare lowers the weights of hosts above their share and gives the rest to the others in proportion. Shares that add
 // up to less than all work leave the weights of the remaining hosts as they are.
-func (st *service) fill() {
+func (st *service) applyMaxShare() {
 	total, capped := 0.0, false
 	for _, h := range st.hosts {
 		h.filled = false
--- a/internal/flow/search_test.go
+++ b/internal/flow/search_test.go
@@ -72,6 +72,13 @@
 // Guards against a caller that hangs on a connection that no host holds, and against a reset that fits another one.
 func TestSearchResetsCallerWhenAllRefuse(t *testing.T) {
 	r := newRig(t, packet.TCP, 2)
+	for range 6 { // The host may be one that is not published here yet, so all are asked again for 6 s.
+		r.data(stray)
+		r.passes(false, ReasonProbeReply)(r.resetProbe(1))
+		r.passes(false, ReasonProbeReply)(r.resetProbe(2))
+		r.now += time.Second
+	}
+	r.Equal(r.Len(), 1)
 	r.data(stray)
 	r.resetProbe(1)
 	r.passes(false, ReasonUnknownFlow)(r.resetProbe(2))
@@ -81,6 +88,25 @@
 	r.passes(false, ReasonUnknownFlow)(r.resetProbe(2)) // A duplicate must not reach the caller.
 }
 
+// Guards against a reset of a flow whose host another entry VM learned of first.
+func TestSearchFindsHostThatIsPublishedLate(t *testing.T) {
+	r := newRig(t, packet.TCP, 2)
+	r.data(stray)
+	r.resetProbe(1)
+	r.resetProbe(2)
+	r.s = service(packet.TCP, 3)
+	r.now += time.Second
+	r.data(stray)
+	r.resetProbe(1)
+	r.resetProbe(2)
+	r.Equal(r.lastProbe(), uint32(3))
+	r.passes(false, ReasonProbeReply)(r.reply(3, packet.Segment{Seq: stray, Ack: callISN + 1, ACK: true}))
+	r.goes(3, "")(r.data(stray))
+	for _, e := range r.sent {
+		r.True(e.host != 0) // the caller got no reset
+	}
+}
+
 // Guards against a search that never ends or that resets a caller whose host cannot be reached.
 func TestSearchEnds(t *testing.T) {
 	r := newRig(t, packet.TCP, 2)
@@ -204,3 +230,17 @@
 	pass, _ := r.reply(1, packet.Segment{Seq: isn + 1, Ack: callISN + 1, ACK: true, Payload: []byte("hello")})
 	r.Equal([]any{pass, r.state()}, []any{true, "established"})
 }
+
+// Guards against payload at a host that got only the SYN, from another entry VM, and whose initial sequence number is near
+// that of the host that serves the flow. A host with payload in flight still proves the pin by sending it again.
+func TestSearchIgnoresBareACKWithOtherNumber(t *testing.T) {
+	r := newRig(t, packet.TCP, 3)
+	r.goes(0, ReasonSearching)(r.data(isn + 1))
+	r.Equal(r.lastProbe(), uint32(1))
+	r.passes(false, ReasonProbeReply)(r.reply(1, packet.Segment{Seq: isn + 5000, Ack: callISN + 1, ACK: true}))
+	r.now += probeTimeout
+	r.goes(0, ReasonSearching)(r.data(isn + 1))
+	r.Equal(r.lastProbe(), uint32(2))
+	r.passes(true, "")(r.reply(2, packet.Segment{Seq: isn + 1, Ack: callISN + 1, ACK: true, Payload: []byte("push")}))
+	r.goes(2, "")(r.data(isn + 1))
+}
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -38,7 +38,6 @@
 	if now >= l.pingDue {
 		l.pingDue = max(l.pingDue+pingPeriod, now)
 		l.pingNext(now)
-		l.askSuspects()
 	}
 	if now >= l.retryDue {
 		l.retryDue = now + pingPeriod
@@ -127,18 +126,6 @@
 	})
 }
 
-// askSuspects lets the members that this list accused refute by the shortest way. Spreading the refutation through
-// others takes longer than a suspicion in a large fleet.
-func (l *List) askSuspects() {
-	asked := 0
-	for _, name := range l.names {
-		if r := l.records[name]; r.suspected && r.accuser && asked < fanOut {
-			asked++
-			l.ping(r.Member)
-		}
-	}
-}
-
 // retryDead pings the dead member that has waited longest, if it is this process's turn.
 func (l *List) retryDead(now time.Duration) {
 	var oldest *record
--- a/internal/member/update.go
+++ b/internal/member/update.go
@@ -145,7 +145,7 @@
 	r.Member = u
 	r.since = now
 	r.retryDue = now + retryPeriod
-	r.suspected, r.accuser = u.State == Suspect, false
+	r.suspected = u.State == Suspect
 	l.enqueue(r)
 	l.changed(u)
 }
@@ -160,7 +160,7 @@
 		u.State = Suspect
 		l.set(now, r, u)
 	}
-	r.since, r.suspected, r.accuser = now, true, true
+	r.since, r.suspected = now, true
 	// Each process waits for the refutation from when it hears of the suspicion, so a slow spread delays the death.
 	l.notify()
 }
