--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -214,14 +214,14 @@
 	finish(t, s, nil)
 }
 
-// Guards against an update that waits for a slow platform in a process that could have it from a peer.
+// Guards against processes that lose flows or stay behind while each answer of the platform takes 20 s. The bounds count
+// from its first answer.
 func TestPlatformSlow(t *testing.T) {
 	t.Parallel()
 	s := start(109, minute)
 	s.Platform.Delay = 20 * time.Second
-	s.After(500*time.Millisecond, func() { s.Platform.Delay = 20 * time.Second })
 	leave(s, "standdesk-2")
-	published := s.Now + s.Platform.Delay // The platform publishes when it first answers.
+	published := s.Now + s.Platform.Delay
 	s.Run(s.Platform.Delay + forceBound)
 	inForce(t, s)
 	finish(t, s, nil)
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -78,11 +78,14 @@
 		}
 	}
 	safe(t, s)
+	greatest := 0.0
 	for _, v := range s.VMs {
+		greatest = max(greatest, v.ControlRate())
 		if rate := v.ControlRate(); rate > controlLimit {
 			t.Errorf("%s sent %.0f bytes/s of messages, more than %d: %v", v.Name, rate, controlLimit, v.MessageBytes)
 		}
 	}
+	t.Logf("greatest control rate: %.0f bytes/s", greatest)
 }
 
 // safe reports the violations of the safety list.
