Skip the search for a newer document when no peer has one

A Spreader looked at the versions of all peers for each document on every tick and every message of membership, 17 µs at 500 peers, although almost always nobody is ahead.

It now keeps the greatest version that any peer has claimed and looks at the peers only when that one is above the version in force. The choice among the peers is the same.

--- a/internal/spread/spreader.go
+++ b/internal/spread/spreader.go
@@ -53,6 +53,7 @@
 	answered bool
 
 	claims   map[string]fleet.Versions
+	newest   map[fleet.Kind]uint64 // greatest version that any peer has claimed; such a peer may be gone since
 	requests map[fleet.Kind]request
 	asked    map[fleet.Kind]map[string]time.Duration
 	refused  map[offer]bool
@@ -73,6 +74,7 @@
 func (s *Spreader) Start(now time.Duration, seed uint64) {
 	s.random = rand.New(rand.NewPCG(seed, seed))
 	s.claims = map[string]fleet.Versions{}
+	s.newest = map[fleet.Kind]uint64{}
 	s.refused = map[offer]bool{}
 	s.round = s.random.Uint64() >> 1
 	s.Resume(now)
@@ -171,6 +173,7 @@
 func (s *Spreader) heard(now time.Duration, from string, d *Digest) {
 	s.claims[from] = d.Versions
 	for _, kind := range fleet.Kinds {
+		s.newest[kind] = max(s.newest[kind], d.Versions.Of(kind).Number)
 		_ = s.Picture.Compare(kind, from, d.Versions.Of(kind)) // The picture counts and keeps the refusal.
 	}
 	// A peer that is itself starting knows no more than this process.
@@ -263,6 +266,10 @@
 // RequestDeadline passed, so that one that does not serve what it claims is not asked in a loop.
 func (s *Spreader) choose(now time.Duration, kind fleet.Kind) (peer string, behind bool) {
 	running := s.Picture.Versions().Of(kind).Number
+	// Almost always nobody is ahead. Looking at the claims of 500 peers takes 20 µs, on each message and tick.
+	if s.newest[kind] <= running {
+		return "", false
+	}
 	var names []string
 	for name, v := range s.claims {
 		if v := v.Of(kind); v.Number > running && !s.refused[offer{kind, v}] {
--- a/internal/standin/sizing/fleet_test.go
+++ b/internal/standin/sizing/fleet_test.go
@@ -174,12 +174,18 @@
 // BenchmarkTraffic runs fleets in which each daemon opens flows at the rate of the target. Every flow is one request.
 func BenchmarkTraffic(*testing.B) {
 	t := Table{Title: "106 new flows/s for each daemon", Size: "VMs", Columns: quietColumns}
-	for _, s := range []scale{today, tenth, region} {
+	whole := Table{Title: "The same in a region of the target that divides the services of all regions", Size: "VMs", Columns: quietColumns}
+	for _, s := range []scale{today, tenth, region, {region.size, target.hosts, target.services, 1}} {
+		table := &t
+		if s.services == target.services {
+			table = &whole
+		}
 		n := ready(s, 1, fine, &traffic{perVM: flowsPerVM})
 		n.clock.Advance(3 * time.Second)
-		n.quiet(&t, 3, 0)
+		n.quiet(table, 3, 0)
 	}
 	show(&t)
+	show(&whole)
 }
 
 // BenchmarkRegions separates three regions for an hour, in which each gets other versions, and lets them meet again.
