Leave hosts that are leaving out of the imbalance

The host kept its share of true capacity although it takes no flows, which raises the ratios of the others; the weights were right.

--- a/cmd/measure/judge.go
+++ b/cmd/measure/judge.go
@@ -109,11 +109,13 @@
 		better := min(results[hash].imbalance, results[leastFlows].imbalance)
 		f.judge("imbalance", r.imbalance <= targetImbalance)
 		f.judge("excess", r.imbalance-1 <= targetExcess*(better-1))
-		ratio := 0.0
+		ratio, proportional := 0.0, 0.0
 		for name, ms := range r.p99 {
 			ratio = max(ratio, ms/min(results[ideal].p99[name], results[idealShortest].p99[name]))
+			proportional = max(proportional, ms/results[ideal].p99[name])
 		}
 		f.add("first-answer-ratio", "%.2f", ratio)
+		f.add("first-answer-ratio-to-ideal", "%.2f", proportional)
 		f.judge("first-answer", ratio <= targetAnswer)
 	}
 	if sc.settles {
--- a/cmd/measure/work.go
+++ b/cmd/measure/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/masticspar/masticspar/internal/standin/site"
@@ -26,10 +27,15 @@
 	}
 }
 
-// sample adds the last second. Its work counts at the speed that the host has now.
+// sample adds the last second. Its work counts at the speed that the host has now. Hosts that the rules let leave take
+// no part.
 func (w *work) sample() {
 	for i, h := range w.site.Hosts {
 		busy := h.Snapshot(w.site.Now).Busy
+		if slices.Contains(w.site.Rules.Leaving, h.Name) {
+			w.busy[i] = busy
+			continue
+		}
 		c := trueCapacity(w.site, h) * h.ServiceTime.Seconds()
 		w.done[i] += max(0, (busy-w.busy[i]).Seconds()) * c / 2 // Each host has two slots.
 		w.able[i] += c
