Handle a pause before any goroutine decides by the old view

Cause: the first Check after a pause set the time of the last check and then called the pause handlers. A reader of the other socket that called Check meanwhile saw no gap, could take the lock of the engine first and decide packets by the view from before the pause. A stop between Check and the lock had the same effect. Change: Check returns only after the handlers of a pause that another goroutine found. The daemon repeats the check when the time from before it to the lock exceeds the bound of a pause. TestCheckWaitsForPauseHandlers fails with the former Check: it returned before the pause was handled.

--- a/cmd/masticspard/daemon.go
+++ b/cmd/masticspard/daemon.go
@@ -94,13 +94,11 @@
 // handler returns the function that takes batches of one socket.
 func (d *daemon) handler(fromPeer bool) func([]fabric.Datagram) {
 	return func(batch []fabric.Datagram) {
-		d.timer.Check()
-		d.mu.Lock()
+		now := d.enter()
 		defer d.mu.Unlock()
 		if d.engine.Send == nil {
 			return // The engine has not been started yet.
 		}
-		now := d.timer.Now()
 		for i := range batch {
 			d.engine.Queue(now, batch[i].Source, fromPeer, batch[i].Bytes)
 		}
@@ -109,6 +107,21 @@
 	}
 }
 
+// enter takes the lock of the engine and returns the time. The process can be paused between the check for a pause and the
+// lock; the engine would then decide by its view from before the pause.
+func (d *daemon) enter() time.Duration {
+	for {
+		before := d.timer.Now()
+		d.timer.Check()
+		d.mu.Lock()
+		now := d.timer.Now()
+		if now-before <= timer.DefaultPauseBound {
+			return now
+		}
+		d.mu.Unlock()
+	}
+}
+
 func (d *daemon) flush() {
 	d.fabric.Flush()
 	d.data.Flush()
--- a/cmd/masticspard/link.go
+++ b/cmd/masticspard/link.go
@@ -30,11 +30,10 @@
 		d.log.Warn("message-refused", zap.String("from", from), zap.Error(err))
 		return
 	}
-	d.timer.Check()
-	d.mu.Lock()
+	now := d.enter()
 	defer d.mu.Unlock()
 	if d.engine.Send != nil {
-		d.engine.Message(d.timer.Now(), m)
+		d.engine.Message(now, m)
 	}
 }
 
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -18,6 +18,8 @@
 	// zero selects DefaultPauseBound.
 	PauseBound time.Duration
 
+	checking sync.Mutex // held by Check until the pause handlers have returned
+
 	mu            sync.Mutex
 	manual        time.Duration
 	lastCheck     time.Duration
@@ -111,8 +113,11 @@
 }
 
 // Check looks for a pause since the last check, calls the pause handlers if there was one, and
-// reports whether there was one.
+// reports whether there was one. It returns after the handlers of a pause that another goroutine found, because the
+// caller would otherwise act on the view from before that pause. The handlers must not call it.
 func (s *Service) Check() bool {
+	s.checking.Lock()
+	defer s.checking.Unlock()
 	now := s.Now()
 	s.mu.Lock()
 	bound := s.PauseBound
--- a/internal/timer/timer_test.go
+++ b/internal/timer/timer_test.go
@@ -34,3 +34,33 @@
 	is.True(!s.Check())
 	is.Equal(gaps, []time.Duration{20 * time.Second})
 }
+
+// Guards against a goroutine that acts on an old view because another one found the pause and is still handling it.
+func TestCheckWaitsForPauseHandlers(t *testing.T) {
+	is := is.New(t)
+	var s Service
+	started, release := make(chan bool), make(chan bool)
+	handled := false
+	s.OnPause(func(_, _ time.Duration) {
+		close(started)
+		<-release
+		handled = true
+	})
+	s.Skip(20 * time.Second)
+	first, second := make(chan bool, 1), make(chan bool, 1)
+	go func() { first <- s.Check() }()
+	<-started
+	go func() {
+		s.Check()
+		second <- handled // The race detector also finds a Check that did not wait.
+	}()
+	select {
+	case <-second:
+		close(release)
+		t.Fatal("Check returned before the pause was handled")
+	case <-time.After(10 * time.Millisecond):
+	}
+	close(release)
+	is.True(<-first)
+	is.True(<-second)
+}
