Fuzz datagrams and peer messages of the engine

Cause: nothing checked arbitrary bytes against the whole engine. Change: FuzzDatagram sends any bytes to both sockets, with seeds of both directions, of flows of this and of another entry VM and of all hop counts; each run may allocate 1 MiB and send one datagram.

--- /dev/null
+++ b/internal/entry/fuzz_test.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"runtime"
+	"slices"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/geneve"
+	"github.com/masticspar/masticspar/internal/member"
+	"github.com/masticspar/masticspar/internal/spread"
+)
+
+// allocated returns the bytes that f allocates. Other goroutines of the process count too, so bounds are generous.
+func allocated(f func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	f()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+// Guards against a datagram that stops the daemon, is answered with more than one datagram or uses memory without
+// bound, at both sockets and from callers, hosts and other entry VMs.
+func FuzzDatagram(f *testing.F) {
+	p := newPath(f)
+	p.fill(4)
+	own, foreign := p.flows[0], p.unused(false)
+	peer := pathMember(1).Data
+	for _, template := range [][]byte{p.syn, p.synACK, p.request, p.response} {
+		for _, flow := range []pathFlow{own, foreign} {
+			b := slices.Clone(flow.address(template))
+			inner := b[geneve.HeaderSize:]
+			f.Add(false, b)
+			f.Add(true, geneve.Append(nil, inner, int(b[6]), 1, own.source().Addr()))
+			f.Add(true, geneve.Append(nil, inner, int(b[6]), maxHops, own.source().Addr()))
+			f.Add(true, geneve.Append(nil, inner, int(b[6]), maxHops+1, own.source().Addr()))
+			f.Add(false, b[:len(b)/2])
+		}
+	}
+	const bound = 1 << 20 // a chunk of the flow table and what the runtime itself allocates
+	f.Fuzz(func(t *testing.T, fromPeer bool, datagram []byte) {
+		source := own.source()
+		if fromPeer {
+			source = peer
+		}
+		before := p.toHost + p.toCaller + p.toPeer
+		n := allocated(func() { p.engine.Datagram(p.now, source, fromPeer, datagram) })
+		if n > bound {
+			t.Errorf("%d bytes allocated for a datagram of %d bytes", n, len(datagram))
+		}
+		if sent := p.toHost + p.toCaller + p.toPeer - before; sent > 1 {
+			t.Errorf("%d datagrams sent for one", sent)
+		}
+	})
+}
+
+// Guards against a message of another entry VM that stops the daemon or makes it allocate far more than its size.
+func FuzzDecode(f *testing.F) {
+	p := newPath(f)
+	p.fill(1)
+	encoded := func(v any) []byte {
+		b, err := cbor.Marshal(v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		return b
+	}
+	m, err := member.Encode(member.Message{Kind: member.Ping, From: pathMember(1), Updates: []member.Member{pathMember(2)}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(uint8(Membership), m)
+	d := &spread.Document{Kind: fleet.Inventory, Bytes: p.engine.picture.Document(fleet.Inventory)}
+	for _, c := range []spread.Message{
+		{Query: &spread.Query{Round: 1}},
+		{Digest: &spread.Digest{Round: 1, Ready: true, Versions: p.engine.picture.Versions()}},
+		{Request: &spread.Request{Kind: fleet.Rules, After: 1}},
+		{Document: d},
+	} {
+		f.Add(uint8(Configuration), encoded(c))
+	}
+	report := p.engine.model.Report(p.now)
+	r, err := report.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(uint8(Report), r)
+	f.Add(uint8(Hint), encoded(hintMessage{Pins: []hint{{Key: make([]byte, packedKeySize), Host: 1}}}))
+	f.Add(uint8(Hint), []byte{0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}) // an array of 2^64-1 elements
+	f.Add(uint8(0), []byte{})
+	f.Fuzz(func(t *testing.T, kind uint8, body []byte) {
+		n := allocated(func() {
+			if m, err := Decode("entry-1", Kind(kind), body); (m == nil) == (err == nil) {
+				t.Errorf("message %v and error %v", m, err)
+			}
+		})
+		if bound := uint64(1<<20 + 256*len(body)); n > bound {
+			t.Errorf("%d bytes allocated for a message of %d bytes, bound %d", n, len(body), bound)
+		}
+	})
+}
