End a drain at the second signal and name the setting in each start error

Cause: a second SIGTERM was ignored until the drain timeout, and an error of the platform's URL did not name the setting. Ruled out: closing everything in order after the second signal; the operator server alone may wait for a second. Change: a second SIGTERM or SIGINT ends the process at once with exit code 1. A first signal during a drain that an operator asked for is only logged. Signals and the end of the process log one line each.

--- a/cmd/demo/failure_test.go
+++ b/cmd/demo/failure_test.go
@@ -142,3 +142,25 @@
 		}
 	}
 }
+
+// Guards against a live check that fails while the configuration is missing, which would make a supervisor restart the
+// process, a ready check that succeeds then, and a drain that a second signal cannot end.
+func TestLiveNotReadyAndSecondSignal(t *testing.T) {
+	x := newTrial(t)
+	x.must(x.prepare())
+	x.must(x.platform.cmd.Process.Signal(syscall.SIGSTOP))
+	x.must(x.startEntry(1))
+	x.await("live", func() bool { return exchange("GET", "http://"+x.operator(1)+"/live", nil, nil) == nil })
+	x.await("refresh", func() bool { return strings.Contains(x.entryLog(1), "view-refreshed") })
+	err := exchange("GET", "http://"+x.operator(1)+"/ready", nil, nil)
+	if err == nil || !strings.Contains(err.Error(), "status 503") {
+		t.Errorf("ready without configuration: %v, want status 503", err)
+	}
+	// Equal signals are merged while the first is pending, so two kinds are used.
+	entry := x.entries[1].cmd.Process
+	x.must(entry.Signal(syscall.SIGTERM))
+	x.must(entry.Signal(syscall.SIGINT))
+	if code := x.exitCode(x.entries[1]); code != 1 {
+		t.Errorf("exit code %d after a second signal, want 1", code)
+	}
+}
--- a/cmd/masticspard/daemon.go
+++ b/cmd/masticspard/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/netip"
+	"os"
 	"sync"
 	"time"
 
@@ -182,7 +183,7 @@
 		VMs:      d.tryVMs,
 		Counters: d.counters,
 	})
-	return stop, err
+	return stop, errors.Annotate(err, "platform")
 }
 
 func (d *daemon) tryVMs(list []platform.VM) {
@@ -238,8 +239,9 @@
 	}
 }
 
-// waitDrained returns when the pins were handed over and the fabric had time to notice, or after the drain timeout.
-func (d *daemon) waitDrained() {
+// waitDrained returns when the pins were handed over and the fabric had time to notice, or after the drain timeout. A
+// signal after the first one ends the wait with an error; signalled says that one has come before.
+func (d *daemon) waitDrained(signals <-chan os.Signal, signalled bool) error {
 	started := d.timer.Now()
 	done := make(chan bool, 1)
 	cancel := d.timer.Subscribe(entry.TickPeriod, func(now time.Duration) {
@@ -255,5 +257,17 @@
 		}
 	})
 	defer cancel()
-	d.log.Info("drained", zap.Bool("complete", <-done))
+	for {
+		select {
+		case complete := <-done:
+			d.log.Info("drained", zap.Bool("complete", complete))
+			return nil
+		case v := <-signals:
+			d.log.Info("signal-received", zap.Stringer("signal", v))
+			if signalled {
+				return errors.Errorf("%s during the drain", v)
+			}
+			signalled = true
+		}
+	}
 }
--- a/cmd/masticspard/main.go
+++ b/cmd/masticspard/main.go
@@ -31,7 +31,8 @@
 	flaggy.DefaultParser.AdditionalHelpAppend = `
 Example: masticspard --settings entry-1.json
 
-Exit codes: 0 after a drain that SIGTERM or an operator asked for, 1 when the daemon failed, 2 for wrong settings.`
+Exit codes: 0 after a drain that SIGTERM or an operator asked for, 1 when the daemon failed or a second SIGTERM ended the
+drain, 2 for wrong settings.`
 	flaggy.String(&file, "s", "settings", "JSON file with the settings")
 	flaggy.Bool(&check, "c", "check", "only check the settings")
 	flaggy.Parse()
@@ -61,18 +62,25 @@
 		fmt.Println("settings are valid")
 		return nil
 	}
-	signals := make(chan os.Signal, 1)
+	// Two, because a second signal must not be lost while the first is handled.
+	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	d, stop, err := newDaemon(s, log.With(zap.String("name", s.Name)))
 	if err != nil {
 		return errors.Trace(err)
 	}
-	defer stop()
+	signalled := false
 	select {
-	case <-signals:
+	case v := <-signals:
+		signalled = true
+		d.log.Info("signal-received", zap.Stringer("signal", v))
 		d.drain()
 	case <-d.draining:
 	}
-	d.waitDrained()
+	if err := d.waitDrained(signals, signalled); err != nil {
+		return err // Nothing is closed in order, so that the process ends at once.
+	}
+	stop()
+	d.log.Info("stopped")
 	return nil
 }
