--- a/cmd/masticspard/daemon.go
+++ b/cmd/masticspard/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/netip"
+	"os"
 	"sync"
 	"time"
 
@@ -94,13 +95,11 @@
 // handler returns the function that takes batches of one socket.
 func (d *daemon) handler(fromPeer bool) func([]fabric.Datagram) {
 	return func(batch []fabric.Datagram) {
-		d.timer.Check()
-		d.mu.Lock()
+		now := d.enter()
 		defer d.mu.Unlock()
 		if d.engine.Send == nil {
 			return // The engine has not been started yet.
 		}
-		now := d.timer.Now()
 		for i := range batch {
 			d.engine.Queue(now, batch[i].Source, fromPeer, batch[i].Bytes)
 		}
@@ -109,6 +108,21 @@
 	}
 }
 
+// enter takes the lock of the engine and returns the time. The process can be paused between the check for a pause and the
+// lock; the engine would then decide by its view from before the pause.
+func (d *daemon) enter() time.Duration {
+	for {
+		before := d.timer.Now()
+		d.timer.Check()
+		d.mu.Lock()
+		now := d.timer.Now()
+		if now-before <= timer.DefaultPauseBound {
+			return now
+		}
+		d.mu.Unlock()
+	}
+}
+
 func (d *daemon) flush() {
 	d.fabric.Flush()
 	d.data.Flush()
@@ -169,7 +183,7 @@
 		VMs:      d.tryVMs,
 		Counters: d.counters,
 	})
-	return stop, err
+	return stop, errors.Annotate(err, "platform")
 }
 
 func (d *daemon) tryVMs(list []platform.VM) {
@@ -225,8 +239,9 @@
 	}
 }
 
-// waitDrained returns when the pins were handed over and the fabric had time to notice, or after the drain timeout.
-func (d *daemon) waitDrained() {
+// waitDrained returns when the pins were handed over and the fabric had time to notice, or after the drain timeout. A
+// signal after the first one ends the wait with an error; signalled says that one has come before.
+func (d *daemon) waitDrained(signals <-chan os.Signal, signalled bool) error {
 	started := d.timer.Now()
 	done := make(chan bool, 1)
 	cancel := d.timer.Subscribe(entry.TickPeriod, func(now time.Duration) {
@@ -242,5 +257,17 @@
 		}
 	})
 	defer cancel()
-	d.log.Info("drained", zap.Bool("complete", <-done))
+	for {
+		select {
+		case complete := <-done:
+			d.log.Info("drained", zap.Bool("complete", complete))
+			return nil
+		case v := <-signals:
+			d.log.Info("signal-received", zap.Stringer("signal", v))
+			if signalled {
+				return errors.Errorf("%s during the drain", v)
+			}
+			signalled = true
+		}
+	}
 }
