Share one in-memory network between member and spread tests

The tests of member and spread each had their own network with a virtual clock, event queue, loss, partitions and pauses, so that a fault added to one was missing in the other.

Messages that wait for a paused spread node are now delivered right after Resume instead of up to 100 ms later.

--- a/internal/member/bench_test.go
+++ b/internal/member/bench_test.go
@@ -12,13 +12,13 @@
 		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
 			n := newNetwork(b.Fatalf, size, 1)
 			n.know()
-			n.clock.Advance(time.Second)
+			n.Advance(time.Second)
 			n.bytes = 0
 			seconds := 0
 			b.ResetTimer()
 			start := time.Now()
 			for b.Loop() {
-				n.clock.Advance(time.Second)
+				n.Advance(time.Second)
 				seconds++
 			}
 			perMember := float64(size * seconds)
--- a/internal/member/list_test.go
+++ b/internal/member/list_test.go
@@ -25,7 +25,7 @@
 	for seed := range uint64(seeds) {
 		n := newNetwork(t.Fatalf, size, seed)
 		n.converge(joinBound)
-		n.clock.Advance(2 * time.Second)
+		n.Advance(2 * time.Second)
 		f(is.New(t), n)
 		if t.Failed() {
 			t.Fatalf("seed %d", seed)
@@ -37,7 +37,7 @@
 func TestDeathIsKnownToAll(t *testing.T) {
 	var worst, sum time.Duration
 	each(t, 8, func(_ *is.I, n *network) {
-		n.nodes[3].dead = true
+		n.nodes[3].Stopped = true
 		took := n.converge(deathBound)
 		worst, sum = max(worst, took), sum+took
 	})
@@ -48,10 +48,10 @@
 func TestLeaveMovesOwnershipAtOnce(t *testing.T) {
 	var worst time.Duration
 	each(t, 8, func(is *is.I, n *network) {
-		n.loss, n.double, n.delay = 0.05, 0.2, 400*time.Millisecond
+		n.Loss, n.Double, n.Jitter = 0.05, 0.2, 400*time.Millisecond
 		x := n.nodes[3]
 		_, before := x.Owners()
-		x.Leave(n.clock.Now())
+		x.Leave(n.Now())
 		own, after := x.Owners()
 		is.Equal(len(own), 7)
 		is.Equal(after, before+1)
@@ -59,7 +59,7 @@
 		old := x.Self
 		old.State = Alive
 		for _, y := range n.nodes[1:3] {
-			y.apply(n.clock.Now(), old, false, false)
+			y.apply(n.Now(), old, false, false)
 			owners, _ := y.Owners()
 			is.Equal(len(owners), 7)
 		}
@@ -71,12 +71,12 @@
 func TestPauseOfTwoSecondsIsNoDeath(t *testing.T) {
 	each(t, 8, func(is *is.I, n *network) {
 		x := n.nodes[5]
-		x.paused = true
+		x.Paused = true
 		is.True(!n.everDead(x, 2*time.Second))
 		n.resume(x)
-		is.True(!x.Settled(n.clock.Now()))
+		is.True(!x.Settled(n.Now()))
 		is.True(!n.everDead(x, 6*time.Second))
-		is.True(x.Settled(n.clock.Now()))
+		is.True(x.Settled(n.Now()))
 		is.Equal(n.disagreement(), "")
 	})
 }
@@ -88,7 +88,7 @@
 	n := newNetwork(t.Fatalf, 64, 1)
 	n.know()
 	x := n.nodes[5]
-	x.paused = true
+	x.Paused = true
 	is.True(!n.everDead(x, 2*time.Second))
 	n.resume(x)
 	is.True(!n.everDead(x, 6*time.Second))
@@ -102,11 +102,11 @@
 	x := n.nodes[0]
 	u := n.nodes[1].Self
 	u.State = Dead
-	x.apply(n.clock.Now(), u, false, false)
+	x.apply(n.Now(), u, false, false)
 	m, _ := x.Get(u.Name)
 	is.Equal(m.State, Suspect)
-	n.nodes[1].dead = true
-	n.clock.Advance(deadAfter)
+	n.nodes[1].Stopped = true
+	n.Advance(deadAfter)
 	m, _ = x.Get(u.Name)
 	is.Equal(m.State, Dead)
 }
@@ -116,15 +116,15 @@
 	is := is.New(t)
 	n := newNetwork(t.Fatalf, 1, 1)
 	x := n.nodes[0]
-	n.clock.Advance(settleAfter)
-	is.True(x.Settled(n.clock.Now()))
+	n.Advance(settleAfter)
+	is.True(x.Settled(n.Now()))
 	before := x.Self.Incarnation
-	x.Resume(n.clock.Now())
+	x.Resume(n.Now())
 	is.Equal(x.Self.Incarnation, before+1)
-	n.clock.Advance(settleAfter - time.Millisecond)
-	is.True(!x.Settled(n.clock.Now()))
-	n.clock.Advance(time.Millisecond)
-	is.True(x.Settled(n.clock.Now()))
+	n.Advance(settleAfter - time.Millisecond)
+	is.True(!x.Settled(n.Now()))
+	n.Advance(time.Millisecond)
+	is.True(x.Settled(n.Now()))
 }
 
 // Guards against a process that acts on the view it had before a pause.
@@ -135,14 +135,14 @@
 				x := n.nodes[5]
 				before := x.Self.Incarnation
 				alone := x.Counters.Values()["member-settled-without-reply"]
-				x.paused = true
+				x.Paused = true
 				n.converge(deathBound)
-				n.nodes[2].dead = true
-				n.clock.Advance(pause)
+				n.nodes[2].Stopped = true
+				n.Advance(pause)
 				n.resume(x)
 				is.True(x.Self.Incarnation > before)
-				for !x.Settled(n.clock.Now()) {
-					n.clock.Advance(10 * time.Millisecond)
+				for !x.Settled(n.Now()) {
+					n.Advance(10 * time.Millisecond)
 				}
 				m, _ := x.Get(n.nodes[2].Self.Name)
 				is.Equal(m.State, Dead) // Known before the process counts as settled.
@@ -157,23 +157,23 @@
 func TestPartitionHeals(t *testing.T) {
 	var worst time.Duration
 	each(t, 8, func(is *is.I, n *network) {
-		n.cut["wa-south"] = true
-		n.clock.Advance(deathBound + 2*time.Second)
+		n.Cut["wa-south"] = true
+		n.Advance(deathBound + 2*time.Second)
 		is.Equal(n.disagreement(), "")
 		south, _ := n.nodes[1].Owners()
 		rest, _ := n.nodes[0].Owners()
 		is.Equal(len(south), 3)
 		is.Equal(len(rest), 5)
-		n.clock.Advance(20 * time.Second)
-		clear(n.cut)
-		start := n.clock.Now()
-		for n.disagreement() != "" && n.clock.Now()-start < healBound {
-			n.clock.Advance(tick)
+		n.Advance(20 * time.Second)
+		clear(n.Cut)
+		start := n.Now()
+		for n.disagreement() != "" && n.Now()-start < healBound {
+			n.Advance(tick)
 			owners, _ := n.nodes[1].Owners()
 			is.True(len(owners) >= 3)
 		}
 		is.Equal(n.disagreement(), "")
-		worst = max(worst, n.clock.Now()-start)
+		worst = max(worst, n.Now()-start)
 	})
 	t.Logf("worst %v", worst)
 }
@@ -183,7 +183,7 @@
 	each(t, 8, func(is *is.I, n *network) {
 		n.start("vm-003", 3, 1) // Old name, old address.
 		n.start("vm-new", 4, 1) // New name at an old address.
-		n.nodes[5].dead = true
+		n.nodes[5].Stopped = true
 		n.start("vm-005", 77, 1) // Old name, new address.
 		n.converge(deathBound)
 		is.Equal(n.nodes[0].Counters.Values()["member-duplicate-name"], int64(0))
@@ -200,7 +200,7 @@
 		x.Logger = zap.New(core)
 	}
 	n.start("vm-003", 77, 1)
-	n.clock.Advance(20 * time.Second)
+	n.Advance(20 * time.Second)
 	is.True(logs.FilterMessage("two live processes use one member name").Len() > 0)
 	is.True(n.nodes[3].Counters.Values()["member-duplicate-name"] > 0)
 	owners, _ := n.nodes[3].Owners()
@@ -209,17 +209,17 @@
 	is.Equal(m.Control, address(77, 7000))
 	generation := func() uint64 { _, g := n.nodes[0].Owners(); return g }
 	before := generation()
-	n.clock.Advance(20 * time.Second)
+	n.Advance(20 * time.Second)
 	is.Equal(generation(), before)
 }
 
 // Guards against views that lost, doubled and late messages keep apart, and against false deaths through them.
 func TestLossyNetwork(t *testing.T) {
 	each(t, 8, func(is *is.I, n *network) {
-		n.loss, n.double, n.delay = 0.1, 0.2, 150*time.Millisecond
+		n.Loss, n.Double, n.Jitter = 0.1, 0.2, 150*time.Millisecond
 		is.True(!n.everDead(n.nodes[2], 20*time.Second))
-		n.nodes[3].dead = true
-		n.nodes[6].Leave(n.clock.Now()) // Two events together.
+		n.nodes[3].Stopped = true
+		n.nodes[6].Leave(n.Now()) // Two events together.
 		n.converge(2 * deathBound)
 	})
 }
@@ -242,14 +242,14 @@
 	is := is.New(t)
 	n := newNetwork(t.Fatalf, 3, 1)
 	n.converge(joinBound)
-	n.nodes[2].dead = true
-	n.clock.Advance(forgetAfter + 10*time.Second)
+	n.nodes[2].Stopped = true
+	n.Advance(forgetAfter + 10*time.Second)
 	for _, x := range n.live() {
 		is.Equal(len(x.Members()), 2)
 	}
 	gone := n.nodes[2].Self
 	gone.State = Dead
-	n.nodes[0].apply(n.clock.Now(), gone, false, false)
+	n.nodes[0].apply(n.Now(), gone, false, false)
 	is.Equal(len(n.nodes[0].Members()), 2)
 }
 
@@ -260,14 +260,14 @@
 	n.converge(joinBound)
 	_, before := n.nodes[0].Owners()
 	x := n.nodes[4]
-	x.paused = true
-	n.clock.Advance(2 * time.Second)
+	x.Paused = true
+	n.Advance(2 * time.Second)
 	n.resume(x)
-	n.clock.Advance(5 * time.Second)
+	n.Advance(5 * time.Second)
 	_, after := n.nodes[0].Owners()
 	is.Equal(after, before)
-	x.dead = true
-	n.clock.Advance(deathBound)
+	x.Stopped = true
+	n.Advance(deathBound)
 	_, after = n.nodes[0].Owners()
 	is.Equal(after, before+1)
 }
@@ -279,7 +279,7 @@
 	n.converge(joinBound)
 	forged := Message{Kind: Notice, From: n.nodes[1].Self}
 	forged.From.State = Leaving
-	n.nodes[0].Handle(n.clock.Now(), "vm-666", forged)
+	n.nodes[0].Handle(n.Now(), "vm-666", forged)
 	is.Equal(n.disagreement(), "")
 	is.Equal(n.nodes[0].Counters.Values()["member-refused-sender"], int64(1))
 }
--- a/internal/member/machine_test.go
+++ b/internal/member/machine_test.go
@@ -34,7 +34,7 @@
 func (m *machine) pick(t *rapid.T, ok func(x *node) bool) *node {
 	var able []*node
 	for _, x := range m.nodes {
-		if !x.dead && ok(x) {
+		if !x.Stopped && ok(x) {
 			able = append(able, x)
 		}
 	}
@@ -44,11 +44,11 @@
 	return able[rapid.IntRange(0, len(able)-1).Draw(t, "node")]
 }
 
-func running(x *node) bool { return !x.paused && !x.replaced }
+func running(x *node) bool { return !x.Paused && !x.replaced }
 
 func (m *machine) run(t *rapid.T, d time.Duration) {
-	for end := m.clock.Now() + d; m.clock.Now() < end; {
-		m.clock.Advance(200 * time.Millisecond)
+	for end := m.Now() + d; m.Now() < end; {
+		m.Advance(200 * time.Millisecond)
 		m.check(t)
 	}
 }
@@ -96,22 +96,22 @@
 				if len(m.live()) < 4 {
 					t.Skip("too few left")
 				}
-				m.pick(t, running).dead = true
+				m.pick(t, running).Stopped = true
 			},
-			"leave": func(t *rapid.T) { m.pick(t, running).Leave(m.clock.Now()) },
+			"leave": func(t *rapid.T) { m.pick(t, running).Leave(m.Now()) },
 			"pause": func(t *rapid.T) {
 				if len(m.live()) < 4 {
 					t.Skip("too few left")
 				}
-				m.pick(t, running).paused = true
+				m.pick(t, running).Paused = true
 			},
-			"resume": func(t *rapid.T) { m.resume(m.pick(t, func(x *node) bool { return x.paused })) },
-			"cut":    func(t *rapid.T) { m.cut[rapid.SampledFrom(zones).Draw(t, "zone")] = true },
-			"heal":   func(*rapid.T) { clear(m.cut) },
+			"resume": func(t *rapid.T) { m.resume(m.pick(t, func(x *node) bool { return x.Paused })) },
+			"cut":    func(t *rapid.T) { m.Cut[rapid.SampledFrom(zones).Draw(t, "zone")] = true },
+			"heal":   func(*rapid.T) { clear(m.Cut) },
 			"loss": func(t *rapid.T) {
-				m.loss = rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "loss")
-				m.double = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "double")
-				m.delay = rapid.SampledFrom([]time.Duration{3 * time.Millisecond, 150 * time.Millisecond}).Draw(t, "delay")
+				m.Loss = rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "loss")
+				m.Double = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "double")
+				m.Jitter = rapid.SampledFrom([]time.Duration{3 * time.Millisecond, 150 * time.Millisecond}).Draw(t, "delay")
 			},
 			"new": func(t *rapid.T) {
 				m.next++
@@ -133,13 +133,13 @@
 			},
 		})
 		for _, x := range m.nodes {
-			if x.paused && !x.dead {
+			if x.Paused && !x.Stopped {
 				m.resume(x)
 			}
 		}
 		m.list() // Otherwise processes whose contacts are all gone cannot find each other.
-		clear(m.cut)
-		m.loss, m.double, m.delay = 0, 0, 3*time.Millisecond
+		clear(m.Cut)
+		m.Loss, m.Double, m.Jitter = 0, 0, 3*time.Millisecond
 		m.converge(healBound + deathBound)
 		m.check(t)
 	})
--- a/internal/spread/spreader_test.go
+++ b/internal/spread/spreader_test.go
@@ -26,7 +26,7 @@
 		w.publish(1, "h1", w.nodes[:6]...)
 		w.settle(bound, 1, w.nodes)
 		w.publish(2, "h2", w.nodes[3]) // The platform is down for all others.
-		w.loss = 0.2
+		w.Loss = 0.2
 		w.settle(bound, 2, w.nodes)
 	})
 }
@@ -36,7 +36,7 @@
 	forSeeds(t, func(t *testing.T, seed uint64) {
 		w := newNetwork(t, seed, 40)
 		w.publish(1, "h1", w.nodes[0])
-		w.advance(200 * time.Millisecond)
+		w.Advance(200 * time.Millisecond)
 		reached := 0
 		for _, n := range w.nodes {
 			if n.picture.Versions().Rules.Number == 1 {
@@ -61,13 +61,13 @@
 		fresh := w.join()
 		for !fresh.spread.Ready() {
 			w.publish(3, "h9", fresh)
-			w.advance(10 * time.Millisecond)
+			w.Advance(10 * time.Millisecond)
 			if v := fresh.picture.Versions().Rules.Number; v != 0 && v != 5 {
 				t.Fatal("in force: ", v)
 			}
 		}
 		is.Equal(fresh.picture.Versions().Rules.Number, uint64(5))
-		is.True(w.now < 60*time.Second)
+		is.True(w.Now() < 60*time.Second)
 		w.settle(bound, 5, w.nodes)
 	})
 }
@@ -82,10 +82,10 @@
 		w.publish(2, "h2", w.nodes[:6]...)
 		w.publish(2, "h3", w.nodes[6:]...)
 		w.settle(bound, 2, w.nodes)
-		w.advance(bound)
+		w.Advance(bound)
 		for _, n := range w.nodes {
 			if n.picture.LastRefusal().Kind != fleet.Rules || n.picture.Counters.Values()["document-refused-conflict-rules"] == 0 {
-				t.Fatal(n.name, n.picture.LastRefusal())
+				t.Fatal(n.Name, n.picture.LastRefusal())
 			}
 		}
 		// With compare-and-set the second publication is repeated as version 3.
@@ -100,22 +100,22 @@
 		is := is.New(t)
 		w := newNetwork(t, seed, 12)
 		w.publish(1, "h1", w.nodes...)
-		w.cut[1] = true
+		w.Cut["zone-1"] = true
 		w.publish(2, "h2", w.nodes[0])
 		var connected, apart []*node
 		for _, n := range w.nodes {
-			if n.zone == 1 {
+			if n.Zone == "zone-1" {
 				apart = append(apart, n)
 			} else {
 				connected = append(connected, n)
 			}
 		}
 		w.settle(bound, 2, connected)
-		w.advance(time.Minute)
+		w.Advance(time.Minute)
 		for _, n := range apart {
 			is.Equal(n.picture.Versions().Rules.Number, uint64(1))
 		}
-		w.cut[1] = false
+		w.Cut["zone-1"] = false
 		w.settle(bound, 2, w.nodes)
 	})
 }
@@ -126,14 +126,13 @@
 		w := newNetwork(t, seed, 8)
 		w.publish(1, "h1", w.nodes...)
 		n := w.nodes[4]
-		n.paused = true
-		w.advance(time.Second)
+		n.Paused = true
+		w.Advance(time.Second)
 		w.publish(2, "h2", w.nodes[0])
-		w.advance(19 * time.Second)
-		n.paused = false
-		n.spread.Resume(w.now)
+		w.Advance(19 * time.Second)
+		w.Resume(n.Node, func() { n.spread.Resume(w.Now()) })
 		for !n.spread.Ready() {
-			w.advance(time.Millisecond)
+			w.Advance(time.Millisecond)
 		}
 		if v := n.picture.Versions().Rules.Number; v != 2 {
 			t.Fatal("ready with version ", v)
--- /dev/null
+++ b/internal/standin/network/network.go
@@ -0,0 +1,137 @@
+package network
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+)
+
+// Network carries messages of type M between nodes at addresses of type A. The exported fields may change between calls
+// of Advance.
+type Network[A comparable, M any] struct {
+	// Random is the source of all choices; tests may draw from it too.
+	Random *rand.Rand
+	// Loss is the probability that a copy of a message is lost.
+	Loss float64
+	// Double is the probability that a message is sent twice.
+	Double float64
+	// Delay is the least delay of a message, and Jitter bounds the random part that is added to it.
+	Delay, Jitter time.Duration
+	// Step is the period in which nodes read what has arrived; zero delivers at the exact time of arrival.
+	Step time.Duration
+	// HoldLimit bounds the messages that wait for a paused node, as a socket buffer does; zero is no bound.
+	HoldLimit int
+	// Cut holds the zones that have no path to other zones.
+	Cut map[string]bool
+
+	now      time.Duration
+	sequence int
+	queue    events
+	nodes    map[A]*Node[A, M]
+}
+
+// Node is an endpoint of a Network. It is embedded in the node type of a test.
+type Node[A comparable, M any] struct {
+	// Name identifies the node to the receivers of its messages.
+	Name    string
+	Address A
+	Zone    string
+	// Receive is called with each message that reaches the node.
+	Receive func(from *Node[A, M], m M)
+	// Stopped nodes neither send nor receive.
+	Stopped bool
+	// Paused nodes receive what has arrived meanwhile when they resume.
+	Paused bool
+
+	held []func()
+}
+
+// New returns an empty network with choices from seed.
+func New[A comparable, M any](seed uint64) *Network[A, M] {
+	return &Network[A, M]{
+		Random: rand.New(rand.NewPCG(seed, 1)), Cut: map[string]bool{}, nodes: map[A]*Node[A, M]{},
+	}
+}
+
+// Now returns the virtual time since the start.
+func (n *Network[A, M]) Now() time.Duration { return n.now }
+
+// Add attaches a node to its address and stops the node that was there before.
+func (n *Network[A, M]) Add(x *Node[A, M]) {
+	if old := n.nodes[x.Address]; old != nil {
+		old.Stopped = true
+	}
+	n.nodes[x.Address] = x
+}
+
+// Send carries m to the node that is at the address when m arrives, if there is one.
+func (n *Network[A, M]) Send(from *Node[A, M], to A, m M) {
+	if from.Stopped {
+		return
+	}
+	for copies := 1; copies <= 2; copies++ {
+		if n.Random.Float64() >= n.Loss {
+			delay := n.Delay
+			if n.Jitter > 0 {
+				delay += time.Duration(n.Random.Int64N(int64(n.Jitter)))
+			}
+			n.schedule(n.now+delay, n.Step, func() { n.arrive(from, to, m) })
+		}
+		if n.Random.Float64() >= n.Double {
+			return
+		}
+	}
+}
+
+func (n *Network[A, M]) arrive(from *Node[A, M], to A, m M) {
+	x := n.nodes[to]
+	switch {
+	case x == nil || x.Stopped || n.Separated(from.Zone, x.Zone):
+	case !x.Paused:
+		x.Receive(from, m)
+	case n.HoldLimit == 0 || len(x.held) < n.HoldLimit:
+		x.held = append(x.held, func() { x.Receive(from, m) })
+	}
+}
+
+// Separated reports whether there is no path between two zones.
+func (n *Network[A, M]) Separated(a, b string) bool { return a != b && (n.Cut[a] || n.Cut[b]) }
+
+// Resume ends the pause of a node: noticed is called first, then the messages that waited are delivered.
+func (n *Network[A, M]) Resume(x *Node[A, M], noticed func()) {
+	x.Paused = false
+	noticed()
+	held := x.held
+	x.held = nil
+	for _, receive := range held {
+		receive()
+	}
+}
+
+// Every calls f after first and then once per period.
+func (n *Network[A, M]) Every(first, period time.Duration, f func()) {
+	n.schedule(n.now+first, 0, func() {
+		f()
+		n.Every(period, period, f)
+	})
+}
+
+// Advance moves the clock by d and runs the events that become due, in order of their time.
+func (n *Network[A, M]) Advance(d time.Duration) {
+	end := n.now + d
+	for len(n.queue) > 0 && n.queue[0].due <= end {
+		e := heap.Pop(&n.queue).(event)
+		n.now = max(n.now, e.due)
+		e.call()
+	}
+	n.now = end
+}
+
+func (n *Network[A, M]) schedule(at, step time.Duration, call func()) {
+	due := at
+	if step > 0 {
+		due = (at + step - 1) / step * step
+	}
+	n.sequence++
+	heap.Push(&n.queue, event{due: due, arrival: at, sequence: n.sequence, call: call})
+}
