Share the reader of model traces between flow and spread

Both replay tests opened, scanned and parsed the counterexamples in the same way, and both ignored errors of the parser: an argument that was not a number counted as zero, and an event after a line that the scanner refused was lost.

internal/standin/trace reads all traces of a directory into events. The replay tests keep their counts and checks.

--- a/internal/flow/replay_test.go
+++ b/internal/flow/replay_test.go
@@ -1,11 +1,6 @@
 package flow
 
 import (
-	"bufio"
-	"fmt"
-	"os"
-	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +8,7 @@
 
 	"github.com/masticspar/masticspar/internal/fleet"
 	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/standin/trace"
 )
 
 // replay runs the events of a counterexample of model/pins.pml against tables, one for each entry VM.
@@ -126,12 +122,10 @@
 	})
 }
 
-func (r *replay) event(line string) {
-	var name string
-	var a, b, c int
-	_, _ = fmt.Sscan(line, &name, &a, &b, &c)
+func (r *replay) event(e trace.Event) {
+	a, b, c := e.Numbers[0], e.Numbers[1], e.Numbers[2]
 	r.now += 10 * time.Millisecond
-	switch name {
+	switch e.Name {
 	case "syn":
 		r.syn(a, b, uint32(c)+1)
 	case "resend":
@@ -167,17 +161,14 @@
 // Guards against code that lacks a rule which the model checker found to be needed: each trace violates the
 // specification without one rule.
 func TestReplayOfModelTraces(t *testing.T) {
-	files, err := filepath.Glob("testdata/traces/*.txt")
+	traces, err := trace.ReadAll("testdata/traces")
 	is.New(t).NoErr(err)
-	is.New(t).Equal(len(files), 6)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+	is.New(t).Equal(len(traces), 6)
+	for _, x := range traces {
+		t.Run(x.Name, func(t *testing.T) {
 			r := newReplay(t)
-			trace, err := os.Open(file)
-			r.NoErr(err)
-			defer func() { _ = trace.Close() }()
-			for lines := bufio.NewScanner(trace); lines.Scan(); {
-				r.event(lines.Text())
+			for _, e := range x.Events {
+				r.event(e)
 				r.check()
 			}
 			r.delivers()
--- a/internal/spread/replay_test.go
+++ b/internal/spread/replay_test.go
@@ -1,17 +1,14 @@
 package spread
 
 import (
-	"bufio"
 	"fmt"
-	"os"
-	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/standin/trace"
 )
 
 const replayProcesses = 3
@@ -81,12 +78,10 @@
 	return least
 }
 
-func (r *replay) event(line string) {
-	var name string
-	var a, b int
-	_, _ = fmt.Sscan(line, &name, &a, &b)
+func (r *replay) event(e trace.Event) {
+	a, b := e.Numbers[0], e.Numbers[1]
 	r.now += 10 * time.Millisecond
-	switch name {
+	switch e.Name {
 	case "publish":
 		if a == len(r.platform)+1 {
 			r.platform = append(r.platform, fmt.Sprint("host-", b))
@@ -141,17 +136,14 @@
 // Guards against code that lacks a rule which the model checker found to be needed: each trace violates the
 // specification without one rule.
 func TestReplayOfModelTraces(t *testing.T) {
-	files, err := filepath.Glob("testdata/traces/*.txt")
+	traces, err := trace.ReadAll("testdata/traces")
 	is.New(t).NoErr(err)
-	is.New(t).Equal(len(files), 4)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+	is.New(t).Equal(len(traces), 4)
+	for _, x := range traces {
+		t.Run(x.Name, func(t *testing.T) {
 			r := newReplay(t)
-			trace, err := os.Open(file)
-			r.NoErr(err)
-			defer func() { _ = trace.Close() }()
-			for lines := bufio.NewScanner(trace); lines.Scan(); {
-				r.event(lines.Text())
+			for _, e := range x.Events {
+				r.event(e)
 				r.check()
 			}
 			r.spreads()
@@ -161,7 +153,7 @@
 
 // spreads requires that all processes get the newest version in force, with the platform down and the partition healed.
 func (r *replay) spreads() {
-	r.event("heal")
+	r.event(trace.Event{Name: "heal"})
 	r.linked = [replayProcesses]bool{true, true, true}
 	newest := uint64(0)
 	for _, s := range r.spreaders {
@@ -170,7 +162,7 @@
 	for p := range r.spreaders {
 		for q := range r.spreaders {
 			if p != q {
-				r.event(fmt.Sprintf("spread %d %d", p, q))
+				r.event(trace.Event{Name: "spread", Numbers: [3]int{p, q}})
 			}
 		}
 	}
