Share the bare UDP relay between the fabric and daemon benchmarks

Both benchmarks compared themselves with a bare relay of their own, each with its own reader and measuring loop.

internal/standin/relay holds the reader, the relay and the loop. It is generic over the datagram type, because the tests of package fabric cannot import a package that imports fabric.

--- a/cmd/masticspard/bench_test.go
+++ b/cmd/masticspard/bench_test.go
@@ -19,6 +19,7 @@
 	"github.com/masticspar/masticspar/internal/settings"
 	"github.com/masticspar/masticspar/internal/standin/authority"
 	"github.com/masticspar/masticspar/internal/standin/platform"
+	"github.com/masticspar/masticspar/internal/standin/relay"
 )
 
 const (
@@ -27,6 +28,8 @@
 	callerISN   = 1000
 	hostISN     = 5000
 	callerPorts = 1000
+	// readyDeadline bounds the start of the daemon.
+	readyDeadline = 20 * time.Second
 )
 
 var benchService = netip.MustParseAddrPort("198.51.100.1:443")
@@ -35,16 +38,41 @@
 type rig struct {
 	testing.TB
 	daemon *daemon
-	hosts  []*batchReader
-	caller *batchReader
+	hosts  []*reader
+	caller *reader
 	pinned []int // host of each flow
 }
 
+type reader = relay.Reader[fabric.Datagram]
+
+func newReader(t testing.TB, address string) *reader {
+	t.Helper()
+	r, err := relay.NewReader[fabric.Datagram](netip.MustParseAddrPort(address))
+	must(t, err)
+	t.Cleanup(r.Close)
+	return r
+}
+
+func newRelay(t testing.TB, to netip.AddrPort) *relay.Relay[fabric.Datagram] {
+	t.Helper()
+	r, err := relay.New[fabric.Datagram](to)
+	must(t, err)
+	t.Cleanup(r.Close)
+	return r
+}
+
+func must(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 func newRig(t testing.TB) *rig {
 	t.Helper()
-	r := &rig{TB: t, caller: newBatchReader(t, "127.0.0.1:0")}
+	r := &rig{TB: t, caller: newReader(t, "127.0.0.1:0")}
 	for i := range benchHosts {
-		r.hosts = append(r.hosts, newBatchReader(t, fmt.Sprintf("127.1.0.%d:0", i+1)))
+		r.hosts = append(r.hosts, newReader(t, fmt.Sprintf("127.1.0.%d:0", i+1)))
 	}
 	stand := &platform.Server{}
 	server := httptest.NewServer(stand.Handler())
@@ -56,13 +84,13 @@
 	if err := stand.Publish("inventory", b); err != nil {
 		t.Fatal(err)
 	}
-	d, stop, err := newDaemon(testSettings(t, server.URL, r.caller.addr()), zap.NewNop())
+	d, stop, err := newDaemon(testSettings(t, server.URL, r.caller.Addr()), zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(stop)
 	r.daemon = d
-	for end := time.Now().Add(relayDeadline); !r.ready(); time.Sleep(10 * time.Millisecond) {
+	for end := time.Now().Add(readyDeadline); !r.ready(); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("the daemon is not ready")
 		}
@@ -105,7 +133,7 @@
 	}}}
 	for i, h := range r.hosts {
 		d.Hosts = append(d.Hosts, inventory.Host{
-			Name: fmt.Sprintf("host-%d", i), Service: "standdesk", AvailabilityZone: "wa-perth", Address: h.addr(), Weight: 1,
+			Name: fmt.Sprintf("host-%d", i), Service: "standdesk", AvailabilityZone: "wa-perth", Address: h.Addr(), Weight: 1,
 			Slots: 2, Connections: 100_000,
 		})
 	}
@@ -132,20 +160,20 @@
 	for i := from; i < to; i++ {
 		k := flowKey(i)
 		handle([]fabric.Datagram{{
-			Source: r.caller.addr(), Bytes: r.datagram(geneve.ToService, packet.Segment{Key: k, Seq: callerISN, SYN: true}),
+			Source: r.caller.Addr(), Bytes: r.datagram(geneve.ToService, packet.Segment{Key: k, Seq: callerISN, SYN: true}),
 		}})
 		host := r.hostOf(i)
 		handle([]fabric.Datagram{{
-			Source: r.hosts[host].addr(),
+			Source: r.hosts[host].Addr(),
 			Bytes: r.datagram(geneve.ToCaller,
 				packet.Segment{Key: k.Reverse(), Seq: hostISN, Ack: callerISN + 1, SYN: true, ACK: true}),
 		}})
 		handle([]fabric.Datagram{{
-			Source: r.caller.addr(),
+			Source: r.caller.Addr(),
 			Bytes:  r.datagram(geneve.ToService, packet.Segment{Key: k, Seq: callerISN + 1, Ack: hostISN + 1, ACK: true}),
 		}})
-		gather(r, 2, func([]fabric.Datagram) {}, r.hosts[host])
-		gather(r, 1, func([]fabric.Datagram) {}, r.caller)
+		must(r, relay.Gather(2, relay.Discard, r.hosts[host]))
+		must(r, relay.Gather(1, relay.Discard, r.caller))
 		r.pinned = append(r.pinned, host)
 	}
 }
@@ -172,8 +200,8 @@
 func BenchmarkDaemon(b *testing.B) {
 	r := newRig(b)
 	r.open(0, benchFlows)
-	in, sink, source := newBatchReader(b, "127.0.0.1:0"), newBatchReader(b, "127.0.0.1:0"), newBareRelay(b, netip.AddrPort{})
-	bare := newBareRelay(b, sink.addr())
+	in, sink := newReader(b, "127.0.0.1:0"), newReader(b, "127.0.0.1:0")
+	source, bare := newRelay(b, in.Addr()), newRelay(b, sink.Addr())
 	handle := r.daemon.handler(false)
 	requests, responses := make([][]byte, benchFlows), make([][]byte, benchFlows)
 	for i := range requests {
@@ -183,12 +211,11 @@
 		responses[i] = r.datagram(geneve.ToCaller,
 			packet.Segment{Key: k.Reverse(), Seq: hostISN + 1, Ack: callerISN + 1, ACK: true, Payload: payload})
 	}
-	discard := func([]fabric.Datagram) {}
 	var bareTime, daemonTime time.Duration
 	position, packets := 0, 0
 	b.ReportAllocs()
 	for b.Loop() {
-		batch := make([]fabric.Datagram, relayBatch)
+		batch := make([]fabric.Datagram, relay.Batch)
 		for direction, sources := range [][]netip.AddrPort{nil, r.addresses()} {
 			for i := range batch {
 				position = (position + 7919) % benchFlows
@@ -197,16 +224,16 @@
 					batch[i] = fabric.Datagram{Bytes: responses[position], Source: sources[r.pinned[position]]}
 				}
 			}
-			source.send(in.addr(), batch)
+			must(b, source.Send(batch))
 			started := time.Now()
-			gather(b, relayBatch, bare.relay, in)
+			must(b, relay.Gather(relay.Batch, bare.Send, in))
 			bareTime += time.Since(started)
-			gather(b, relayBatch, discard, sink)
+			must(b, relay.Gather(relay.Batch, relay.Discard, sink))
 
-			source.send(in.addr(), batch)
+			must(b, source.Send(batch))
 			started = time.Now()
 			n := 0
-			gather(b, relayBatch, func(received []fabric.Datagram) {
+			must(b, relay.Gather(relay.Batch, func(received []fabric.Datagram) error {
 				if direction == 1 { // The source socket is not at the addresses of the hosts.
 					for i := range received {
 						received[i].Source = batch[n+i].Source
@@ -214,14 +241,15 @@
 				}
 				n += len(received)
 				handle(received)
-			}, in)
+				return nil
+			}, in))
 			daemonTime += time.Since(started)
 			if direction == 0 {
-				gather(b, relayBatch, discard, r.hosts...)
+				must(b, relay.Gather(relay.Batch, relay.Discard, r.hosts...))
 			} else {
-				gather(b, relayBatch, discard, r.caller)
+				must(b, relay.Gather(relay.Batch, relay.Discard, r.caller))
 			}
-			packets += relayBatch
+			packets += relay.Batch
 		}
 	}
 	b.ReportMetric(float64(bareTime)/float64(packets), "bare-ns")
@@ -232,7 +260,7 @@
 func (r *rig) addresses() []netip.AddrPort {
 	list := make([]netip.AddrPort, 0, len(r.hosts))
 	for _, h := range r.hosts {
-		list = append(list, h.addr())
+		list = append(list, h.Addr())
 	}
 	return list
 }
--- a/internal/fabric/relay_test.go
+++ b/internal/fabric/relay_test.go
@@ -6,56 +6,36 @@
 	"testing"
 	"time"
 
-	"golang.org/x/net/ipv4"
+	"github.com/masticspar/masticspar/internal/standin/relay"
 )
 
-// relay is a bare batched UDP relay: it reads a batch and sends the same buffers on, without looking at them. The
-// throughput of a forwarder is measured as a ratio to it.
-type relay struct {
-	conn     *net.UDPConn
-	reader   *reader
-	out      *ipv4.PacketConn
-	messages [batchSize]ipv4.Message
+// bareRelay is a relay with the reader that feeds it.
+type bareRelay struct {
+	in  *relay.Reader[Datagram]
+	out *relay.Relay[Datagram]
 }
 
 // newRelay opens a relay on loopback that sends to the given address.
-func newRelay(t testing.TB, to netip.AddrPort) *relay {
+func newRelay(t testing.TB, to netip.AddrPort) *bareRelay {
 	t.Helper()
-	r := &relay{}
-	r.conn, r.reader = openReader(t, loopback4)
-	out, err := listen(loopback4)
+	in, err := relay.NewReader[Datagram](loopback4)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = out.Close() })
-	r.out = ipv4.NewPacketConn(out)
-	address := net.UDPAddrFromAddrPort(to)
-	for i := range r.messages {
-		r.messages[i] = ipv4.Message{Buffers: make([][]byte, 1), Addr: address}
+	t.Cleanup(in.Close)
+	out, err := relay.New[Datagram](to)
+	if err != nil {
+		t.Fatal(err)
 	}
-	return r
+	t.Cleanup(out.Close)
+	return &bareRelay{in: in, out: out}
 }
 
-// addr returns the address that the relay receives on.
-func (r *relay) addr() netip.AddrPort { return r.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
-
-// step relays one batch and returns its size.
-func (r *relay) step() (int, error) {
-	batch, err := r.reader.read()
-	if err != nil {
-		return 0, err
-	}
-	for i := range batch {
-		r.messages[i].Buffers[0] = batch[i].Bytes
-	}
-	for sent := 0; sent < len(batch); {
-		n, err := r.out.WriteBatch(r.messages[sent:len(batch)], 0)
-		if err != nil {
-			return sent, err
-		}
-		sent += n
+// pass relays a batch.
+func (r *bareRelay) pass(t testing.TB) {
+	if err := relay.Gather(batchSize, r.out.Send, r.in); err != nil {
+		t.Fatal(err)
 	}
-	return len(batch), nil
 }
 
 // bench is a source and a sink around the code that is measured. Both act only between the measured parts, so that the
@@ -155,16 +135,8 @@
 	hash := uint64(0)
 	b.ReportAllocs()
 	for b.Loop() {
-		x.fill(bare.addr())
-		bareTime += timed(func() {
-			for got := 0; got < batchSize; {
-				n, err := bare.step()
-				if err != nil {
-					b.Fatal(err)
-				}
-				got += n
-			}
-		})
+		x.fill(bare.in.Addr())
+		bareTime += timed(func() { bare.pass(b) })
 		x.drain()
 		x.fill(address)
 		socketTime += timed(func() {
@@ -193,14 +165,8 @@
 	x := newBench(t)
 	r := newRelay(t, x.to)
 	for range 20 {
-		x.fill(r.addr())
-		for got := 0; got < batchSize; {
-			n, err := r.step()
-			if err != nil {
-				t.Fatal(err)
-			}
-			got += n
-		}
+		x.fill(r.in.Addr())
+		r.pass(t)
 		x.drain()
 	}
 }
