--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -1,8 +1,6 @@
 package inventory
 
 import (
-	"encoding/json"
-	"errors"
 	"fmt"
 	"net/netip"
 	"strings"
@@ -10,10 +8,11 @@
 	"time"
 
 	"github.com/masticspar/masticspar/internal/document"
+	"github.com/masticspar/masticspar/internal/standin/sample"
 	"github.com/matryer/is"
 )
 
-const sample = `{"version":3,"availability-zones":["wa-perth","wa-south"],
+const valid = `{"version":3,"availability-zones":["wa-perth","wa-south"],
 "services":[{"name":"standdesk","protocol":"tcp","addresses":["10.1.0.1:443","[2001:db8::1]:443"],"owner-group":8,
  "idle-timeout":"1h","warm-up":"2m","max-wait":"2s"},
  {"name":"photointake","protocol":"udp","addresses":["10.1.0.1:443"]}],
@@ -24,7 +23,7 @@
 // Guards against a wrong default and against a protocol or address family that is not read.
 func TestDecode(t *testing.T) {
 	is := is.New(t)
-	d, err := Decode([]byte(sample))
+	d, err := Decode([]byte(valid))
 	is.NoErr(err)
 	is.Equal(d.Hosts[1], Host{
 		Name: "h2", Service: "photointake", AvailabilityZone: "wa-south",
@@ -36,7 +35,8 @@
 
 // Guards against a faulty document that is put in force, and against an error without field and range.
 func TestDecodeRefuses(t *testing.T) {
-	for _, c := range []struct{ old, with, field string }{
+	decode := func(b []byte) error { _, err := Decode(b); return err }
+	for _, c := range []sample.Change{
 		{`"version":3`, `"version":0`, "version"},
 		{`"version":3`, `"version":9007199254740993`, "version"},
 		{`"wa-south"]`, `"wa-perth"]`, "availability-zones[1]"},
@@ -62,16 +62,7 @@
 		{`"connections":2000`, `"connections":1000001`, "hosts[0].connections"},
 		{`"connections":2000`, `"conections":2000`, "hosts[0].conections"},
 	} {
-		t.Run(c.with, func(t *testing.T) {
-			is := is.New(t)
-			text := strings.Replace(sample, c.old, c.with, 1)
-			is.True(text != sample)
-			_, err := Decode([]byte(text))
-			var e *document.Error
-			is.True(errors.As(err, &e))
-			is.Equal(e.Field, c.field)
-			is.True(e.Document == "inventory" && e.Allowed != "" && e.Got != "")
-		})
+		t.Run(c.With, func(t *testing.T) { is.New(t).True(sample.Refused(t, c, "inventory", valid, decode).Got != "") })
 	}
 }
 
@@ -100,20 +91,4 @@
 }
 
 // FuzzDecode guards against a panic and against a document that is accepted, written and then refused.
-func FuzzDecode(f *testing.F) {
-	f.Add([]byte(sample))
-	f.Add([]byte(`{"version":1}`))
-	f.Fuzz(func(t *testing.T, b []byte) {
-		d, err := Decode(b)
-		if err != nil {
-			return
-		}
-		text, err := json.Marshal(d)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := Decode(text); err != nil {
-			t.Fatal(err)
-		}
-	})
-}
+func FuzzDecode(f *testing.F) { sample.Fuzz(f, Decode, valid, `{"version":1}`) }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,16 +1,14 @@
 package settings
 
 import (
-	"errors"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/masticspar/masticspar/internal/document"
+	"github.com/masticspar/masticspar/internal/standin/sample"
 	"github.com/matryer/is"
 )
 
-const sample = `{"name":"perth-1","region":"west","availability-zone":"wa-perth","size":2,"fabric-address":"127.0.0.1:6081",
+const valid = `{"name":"perth-1","region":"west","availability-zone":"wa-perth","size":2,"fabric-address":"127.0.0.1:6081",
 "fabric":["127.0.1.1:6081"],"data-address":"127.0.0.1:6082","control-address":"127.0.0.1:6083","operator-address":"127.0.0.1:6083",
 "contacts":["127.0.0.2:6083","[::1]:6083"],"platform":"http://127.0.0.1:7070","ca-file":"ca.pem","certificate-file":"c.pem",
 "key-file":"k.pem"}`
@@ -18,7 +16,7 @@
 // Guards against a default that is lost and a setting that is not read.
 func TestDecode(t *testing.T) {
 	is := is.New(t)
-	s, err := Decode("daemon.json", []byte(sample))
+	s, err := Decode("daemon.json", []byte(valid))
 	is.NoErr(err)
 	is.True(s.Size == 2 && s.MTU == 1440 && s.FlowCapacity == 500_000 && s.ControlBytesPerSecond == 4096)
 	is.Equal(time.Duration(s.DrainTimeout), 30*time.Second)
@@ -27,7 +25,8 @@
 
 // Guards against a process that starts with settings that cannot work, and against an error without field and range.
 func TestDecodeRefuses(t *testing.T) {
-	for _, c := range []struct{ old, with, field string }{
+	decode := func(b []byte) error { _, err := Decode("daemon.json", b); return err }
+	for _, c := range []sample.Change{
 		{`"perth-1"`, `""`, "name"},
 		{`"west"`, `"west coast"`, "region"},
 		{`"availability-zone":"wa-perth",`, ``, "availability-zone"},
@@ -48,15 +47,6 @@
 		{`"size":2`, `"drain-timeout":"11m"`, "drain-timeout"},
 		{`"size":2`, `"drain-time-out":"11m"`, "drain-time-out"},
 	} {
-		t.Run(c.with, func(t *testing.T) {
-			is := is.New(t)
-			text := strings.Replace(sample, c.old, c.with, 1)
-			is.True(text != sample)
-			_, err := Decode("daemon.json", []byte(text))
-			var e *document.Error
-			is.True(errors.As(err, &e))
-			is.Equal(e.Field, c.field)
-			is.True(e.Document == "daemon.json" && e.Allowed != "")
-		})
+		t.Run(c.With, func(t *testing.T) { _ = sample.Refused(t, c, "daemon.json", valid, decode) })
 	}
 }
--- /dev/null
+++ b/internal/standin/sample/sample.go
@@ -0,0 +1,50 @@
+package sample
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/masticspar/masticspar/internal/document"
+)
+
+// Change makes a sample faulty: With takes the place of the first Old, and Field is then at fault. It is an alias, so that
+// tables of changes can leave out the names of the fields.
+type Change = struct{ Old, With, Field string }
+
+// Refused requires that decode refuses the changed sample with an error that names the document, the field and what is
+// allowed there. It returns the error.
+func Refused(t *testing.T, c Change, name, sample string, decode func([]byte) error) *document.Error {
+	t.Helper()
+	is := is.New(t)
+	text := strings.Replace(sample, c.Old, c.With, 1)
+	is.True(text != sample)
+	var e *document.Error
+	is.True(errors.As(decode([]byte(text)), &e))
+	is.Equal(e.Field, c.Field)
+	is.True(e.Document == name && e.Allowed != "")
+	return e
+}
+
+// Fuzz looks for input on which decode panics, and for a document that is accepted, written and then refused.
+func Fuzz[D any](f *testing.F, decode func([]byte) (D, error), seeds ...string) {
+	for _, seed := range seeds {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d, err := decode(b)
+		if err != nil {
+			return
+		}
+		text, err := json.Marshal(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := decode(text); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
