Fail the spread tests on a message to an unknown node

The shared network drops a message to an address without a node, as a real one does. The network of the spread tests stopped at such a message before it was shared, which found a Spreader that sends to a wrong name.

The tests of spread check the name again before they send. They pass with it under the race detector.

--- a/internal/spread/network_test.go
+++ b/internal/spread/network_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -111,6 +112,9 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	if !slices.ContainsFunc(w.nodes, func(n *node) bool { return n.Name == to }) {
+		w.t.Fatalf("%s sends to unknown %q", from.Name, to)
+	}
 	if !from.silent || m.Document == nil {
 		w.Send(from.Node, to, envelope{data: b, ping: ping})
 	}
