Share the virtual clock with the capacity bench

The queueing model in the tests of capacity had a third copy of the event queue, in which events of one time ran in no defined order.

internal/standin/network now exports its Clock, and the bench uses it. Events of one time run in the order in which they were scheduled, and a run ends at its exact end instead of at the last event before it, so some seeds draw another sequence. Bounds, seeds and assertions stay.

With 50 other seeds the tests of silent, refusing, failing, cold, capped and excluded hosts, of partition, pause and overload pass before and after. With 22 other seeds TestSettlesAfterStep passes before and after; TestSettlesWithFewSamples fails with the same 8 of them before and after (a mean weight of 0.88 to 0.90 or 1.10 to 1.13, bounds 0.9 to 1.1), so its bound holds for its own seeds but not for all. TestSlowServiceIsNotBad passes with these 22 seeds after the change; TestImbalanceAndFirstAnswer was not run with other seeds.

--- a/internal/capacity/bench_test.go
+++ b/internal/capacity/bench_test.go
@@ -1,7 +1,6 @@
 package capacity
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -10,6 +9,7 @@
 	"github.com/masticspar/masticspar/internal/fleet"
 	"github.com/masticspar/masticspar/internal/packet"
 	"github.com/masticspar/masticspar/internal/signal"
+	"github.com/masticspar/masticspar/internal/standin/network"
 )
 
 // The bench is an event-driven queueing model in virtual time: entry VMs of unequal size select hosts for Poisson
@@ -35,23 +35,6 @@
 	epoch   = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 )
 
-type event struct {
-	at   time.Duration
-	call func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 type server struct {
 	speed           float64
 	silent, refuses bool
@@ -62,10 +45,9 @@
 }
 
 type bench struct {
+	network.Clock
 	policy   string
 	rng      *rand.Rand
-	now      time.Duration
-	queue    events
 	service  *fleet.Service
 	servers  []*server
 	vms      []*Model
@@ -107,10 +89,6 @@
 	return b
 }
 
-func (b *bench) after(d time.Duration, call func()) {
-	heap.Push(&b.queue, event{b.now + d, call})
-}
-
 func (b *bench) exponential(mean time.Duration) time.Duration {
 	return time.Duration(b.rng.ExpFloat64() * float64(mean))
 }
@@ -133,11 +111,11 @@
 
 // run advances the bench by the given number of seconds and measures them.
 func (b *bench) run(seconds int) {
-	if b.now == 0 {
+	if b.Now() == 0 {
 		b.rate = b.load * b.total()
-		b.after(0, b.arrive)
+		b.After(0, b.arrive)
 		for i := range b.vms { // Ticks of the VMs are not aligned.
-			b.after(time.Duration(i)*117*time.Millisecond+time.Second, func() { b.tick(i) })
+			b.Every(time.Duration(i)*117*time.Millisecond+time.Second, time.Second, func() { b.tick(i) })
 		}
 	}
 	b.answers = b.answers[:0]
@@ -145,34 +123,29 @@
 	for _, s := range b.servers {
 		s.served, s.given = 0, 0
 	}
-	for end := b.now + time.Duration(seconds)*time.Second; len(b.queue) > 0 && b.queue[0].at <= end; {
-		e := heap.Pop(&b.queue).(event)
-		b.now = e.at
-		e.call()
-	}
+	b.Advance(time.Duration(seconds) * time.Second)
 }
 
 func (b *bench) tick(i int) {
-	b.after(time.Second, func() { b.tick(i) })
-	report, m := b.vms[i].Report(b.now), b.vms[i]
+	report, m := b.vms[i].Report(b.Now()), b.vms[i]
 	for j, peer := range b.vms {
 		if j != i && !b.offline[i] && !b.offline[j] {
-			b.after(benchDelay, func() { peer.Merge(b.now, m.Self, m.Part(report, peer.Self)) })
+			b.After(benchDelay, func() { peer.Merge(b.Now(), m.Self, m.Part(report, peer.Self)) })
 		}
 	}
-	m.Tick(b.now)
+	m.Tick(b.Now())
 	if b.policy == truth {
 		for k, h := range m.services[1].hosts {
 			h.weight, m.services[1].learned = b.capacity(k), true
 		}
 	}
 	if i == 0 && b.each != nil {
-		b.each(int(b.now / time.Second))
+		b.each(int(b.Now() / time.Second))
 	}
 }
 
 func (b *bench) arrive() {
-	b.after(b.exponential(time.Duration(float64(time.Second)/b.rate)), b.arrive)
+	b.After(b.exponential(time.Duration(float64(time.Second)/b.rate)), b.arrive)
 	u, vm := b.rng.Float64(), 0
 	for total := size(b.vms[0].services[1].owners, ""); u > vmSizes[vm]/total; vm++ {
 		u -= vmSizes[vm] / total
@@ -180,7 +153,7 @@
 	b.port++
 	caller := netip.AddrFrom4([4]byte{10, byte(b.port >> 24), byte(b.port >> 16), 1})
 	key := packet.NewKey(packet.TCP, netip.AddrPortFrom(caller, uint16(b.port)), netip.MustParseAddrPort("198.51.100.1:443"))
-	b.open(vm, &key, b.now, 0)
+	b.open(vm, &key, b.Now(), 0)
 }
 
 // open starts a flow; a refused one is retried once on another host.
@@ -193,10 +166,10 @@
 	m, s := b.vms[vm], b.servers[h.ID-1]
 	s.given++
 	observe := func(kind signal.Kind, elapsed time.Duration) {
-		m.Observe(b.now, signal.Event{Kind: kind, Service: 1, Host: h.ID, Elapsed: elapsed})
+		m.Observe(b.Now(), signal.Event{Kind: kind, Service: 1, Host: h.ID, Elapsed: elapsed})
 	}
 	observe(signal.Opened, 0)
-	b.after(2*benchDelay, func() {
+	b.After(2*benchDelay, func() {
 		if s.refuses || s.failing > 0 && b.rng.Float64() < s.failing {
 			observe(signal.Refused, 0)
 			observe(signal.Closed, 0)
@@ -207,13 +180,13 @@
 		}
 		observe(signal.Accepted, 2*benchDelay)
 		observe(signal.Requested, 0)
-		sent := b.now
-		b.after(benchDelay, func() {
+		sent := b.Now()
+		b.After(benchDelay, func() {
 			b.enqueue(s, func() {
-				b.after(benchDelay, func() {
-					observe(signal.Answered, b.now-sent)
+				b.After(benchDelay, func() {
+					observe(signal.Answered, b.Now()-sent)
 					observe(signal.Closed, 0)
-					b.answers = append(b.answers, b.now-since)
+					b.answers = append(b.answers, b.Now()-since)
 				})
 			})
 		})
@@ -226,7 +199,7 @@
 		return
 	}
 	s.busy++
-	b.after(b.exponential(time.Duration(float64(b.mean)/s.speed)), func() {
+	b.After(b.exponential(time.Duration(float64(b.mean)/s.speed)), func() {
 		s.busy--
 		s.served++
 		done()
--- a/internal/capacity/faults_test.go
+++ b/internal/capacity/faults_test.go
@@ -25,8 +25,8 @@
 		b.run(benchWarmUp)
 		for _, m := range b.vms {
 			for range n {
-				m.Observe(b.now, signal.Event{Kind: signal.Opened, Service: 1, Host: 10})
-				m.Observe(b.now, signal.Event{Kind: signal.Requested, Service: 1, Host: 10})
+				m.Observe(b.Now(), signal.Event{Kind: signal.Opened, Service: 1, Host: 10})
+				m.Observe(b.Now(), signal.Event{Kind: signal.Requested, Service: 1, Host: 10})
 			}
 		}
 		var ratios []float64
@@ -98,10 +98,10 @@
 	b.run(benchWarmUp)
 	m := b.vms[0]
 	for range 5 {
-		m.Observe(b.now, signal.Event{Kind: signal.Requested, Service: 1, Host: 3})
+		m.Observe(b.Now(), signal.Event{Kind: signal.Requested, Service: 1, Host: 3})
 	}
 	before := m.hosts[3].capacity
-	m.Tick(b.now + 200*time.Second)
+	m.Tick(b.Now() + 200*time.Second)
 	for _, h := range m.hosts {
 		if h.bad {
 			t.Errorf("host %d is bad after a pause", h.config.ID)
--- a/internal/capacity/model_test.go
+++ b/internal/capacity/model_test.go
@@ -1,7 +1,6 @@
 package capacity
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"net/netip"
@@ -178,11 +177,7 @@
 		until := from + rapid.IntRange(0, 40).Draw(t, "time")
 		for second := 1; second <= 100; second++ {
 			now := time.Duration(second) * time.Second
-			for len(b.queue) > 0 && b.queue[0].at <= now {
-				e := heap.Pop(&b.queue).(event)
-				b.now = e.at
-				e.call()
-			}
+			b.Advance(time.Second)
 			for i, m := range b.vms {
 				r := m.Report(now)
 				for _, peer := range b.vms {
@@ -194,7 +189,7 @@
 						continue
 					}
 					part := m.Part(r, peer.Self)
-					heap.Push(&b.queue, event{now + late, func() { peer.Merge(b.now, m.Self, part) }})
+					b.After(late, func() { peer.Merge(b.Now(), m.Self, part) })
 				}
 				m.Tick(now)
 				change := rapid.IntRange(-20, 40).Draw(t, "change")
--- a/internal/capacity/targets_test.go
+++ b/internal/capacity/targets_test.go
@@ -34,7 +34,7 @@
 		}
 		return hosts[best].config, ""
 	}
-	return b.vms[vm].Pick(b.now, b.service, key, avoid)
+	return b.vms[vm].Pick(b.Now(), b.service, key, avoid)
 }
 
 // imbalance returns the greatest ratio of share of work to share of true capacity, and the least one.
@@ -218,8 +218,8 @@
 	b.servers[13].refuses = true
 	b.each = func(int) {
 		for _, m := range b.vms {
-			m.Hint(b.now, 14, true)
-			m.Hint(b.now, 5, false)
+			m.Hint(b.Now(), 14, true)
+			m.Hint(b.Now(), 5, false)
 		}
 	}
 	b.run(3)
@@ -293,7 +293,7 @@
 	b.load = 0.4
 	b.run(5)
 	for _, m := range b.vms { // A bad host outside gets no trial flow either.
-		m.hosts[1].exclude(b.now, b.now)
+		m.hosts[1].exclude(b.Now(), b.Now())
 	}
 	b.run(30)
 	for i := range 4 {
@@ -325,7 +325,7 @@
 	}
 	var udp fleet.Service
 	udp.Protocol = packet.UDP
-	if _, refusal := b.vms[0].Pick(b.now, &udp, &packet.Key{}, 0); refusal != NoHost {
+	if _, refusal := b.vms[0].Pick(b.Now(), &udp, &packet.Key{}, 0); refusal != NoHost {
 		t.Errorf("refusal %q for a service without hosts, want %q", refusal, NoHost)
 	}
 }
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -1,7 +1,6 @@
 package network
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 )
@@ -9,6 +8,7 @@
 // Network carries messages of type M between nodes at addresses of type A. The exported fields may change between calls
 // of Advance.
 type Network[A comparable, M any] struct {
+	Clock
 	// Random is the source of all choices; tests may draw from it too.
 	Random *rand.Rand
 	// Loss is the probability that a copy of a message is lost.
@@ -24,10 +24,7 @@
 	// Cut holds the zones that have no path to other zones.
 	Cut map[string]bool
 
-	now      time.Duration
-	sequence int
-	queue    events
-	nodes    map[A]*Node[A, M]
+	nodes map[A]*Node[A, M]
 }
 
 // Node is an endpoint of a Network. It is embedded in the node type of a test.
@@ -53,9 +50,6 @@
 	}
 }
 
-// Now returns the virtual time since the start.
-func (n *Network[A, M]) Now() time.Duration { return n.now }
-
 // Add attaches a node to its address and stops the node that was there before.
 func (n *Network[A, M]) Add(x *Node[A, M]) {
 	if old := n.nodes[x.Address]; old != nil {
@@ -107,31 +101,3 @@
 		receive()
 	}
 }
-
-// Every calls f after first and then once per period.
-func (n *Network[A, M]) Every(first, period time.Duration, f func()) {
-	n.schedule(n.now+first, 0, func() {
-		f()
-		n.Every(period, period, f)
-	})
-}
-
-// Advance moves the clock by d and runs the events that become due, in order of their time.
-func (n *Network[A, M]) Advance(d time.Duration) {
-	end := n.now + d
-	for len(n.queue) > 0 && n.queue[0].due <= end {
-		e := heap.Pop(&n.queue).(event)
-		n.now = max(n.now, e.due)
-		e.call()
-	}
-	n.now = end
-}
-
-func (n *Network[A, M]) schedule(at, step time.Duration, call func()) {
-	due := at
-	if step > 0 {
-		due = (at + step - 1) / step * step
-	}
-	n.sequence++
-	heap.Push(&n.queue, event{due: due, arrival: at, sequence: n.sequence, call: call})
-}
