--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -85,8 +85,8 @@
 	leaving bool
 	codec   geneve.Codec
 	view    packet.Packet
+	made    packet.Packet // the packet of the flow table that is being sent
 	queue   queue
-	hash    uint64 // of the flow that is being decided about
 	out     []byte
 	dropped map[string]metrics.Counter
 	counted map[string]metrics.Counter
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -68,7 +68,6 @@
 	for i := range keys {
 		w := e.queue.at(i)
 		w.load(&e.view, &keys[i])
-		e.hash = w.hash
 		if w.host == nil {
 			e.apply(w, e.flows.FromCaller(now, w.service, &e.view))
 		} else {
@@ -148,13 +147,20 @@
 	}
 }
 
-// emit sends a packet that the flow table made, to the caller when there is no host.
+// emit sends a packet that the flow table made, to the caller when there is no host. The hash comes from the packet,
+// because a sweep makes packets of other flows than the one that was decided about last.
 func (e *Engine) emit(_ time.Duration, to *fleet.Host, b []byte) {
+	if err := e.made.Parse(b); err != nil {
+		e.drop(parseReason(err))
+		return
+	}
+	k := e.made.Key
 	if to == nil {
-		e.sendToCaller(b, e.hash)
+		k = k.Reverse()
+		e.sendToCaller(b, k.Hash())
 		return
 	}
-	e.sendToHost(to, b, e.hash)
+	e.sendToHost(to, b, k.Hash())
 }
 
 func (e *Engine) sendToHost(h *fleet.Host, inner []byte, hash uint64) {
