Name the setting in each error of the link's start

Cause: the links that replaced the first simple version returned errors without the name of the setting. Result: TestStartErrorsNameTheSetting passes; it failed for ca-file, certificate-file, key-file and control-address.

--- a/internal/peer/keys.go
+++ b/internal/peer/keys.go
@@ -22,10 +22,13 @@
 // load reads the files, or returns the current keys if nothing changed.
 func load(c Config, current *keys) (*keys, error) {
 	var parts [3][]byte
-	for i, path := range []string{c.CA, c.Certificate, c.Key} {
-		data, err := os.ReadFile(path)
+	// The errors carry the names of the settings of the daemon, which an operator has to correct.
+	for i, file := range []struct{ setting, path string }{
+		{"ca-file", c.CA}, {"certificate-file", c.Certificate}, {"key-file", c.Key},
+	} {
+		data, err := os.ReadFile(file.path)
 		if err != nil {
-			return nil, errors.Trace(err)
+			return nil, errors.Annotate(err, file.setting)
 		}
 		parts[i] = data
 	}
@@ -35,14 +38,14 @@
 	}
 	k := &keys{roots: x509.NewCertPool(), raw: raw}
 	if !k.roots.AppendCertsFromPEM(parts[0]) {
-		return nil, errors.Errorf("no certificate in %s", c.CA)
+		return nil, errors.Errorf("ca-file: no certificate in %s", c.CA)
 	}
 	var err error
 	if k.certificate, err = tls.X509KeyPair(parts[1], parts[2]); err != nil {
-		return nil, errors.Annotate(err, c.Certificate)
+		return nil, errors.Annotatef(err, "certificate-file %s and key-file %s", c.Certificate, c.Key)
 	}
 	if !slices.Contains(k.certificate.Leaf.DNSNames, c.Name) {
-		return nil, errors.Errorf("%s is not for member %q", c.Certificate, c.Name)
+		return nil, errors.Errorf("certificate-file: %s is not for member %q", c.Certificate, c.Name)
 	}
 	return k, nil
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -105,7 +105,7 @@
 	}
 	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(c.Listen))
 	if err != nil {
-		return nil, nil, errors.Trace(err)
+		return nil, nil, errors.Annotatef(err, "control-address %s", c.Listen)
 	}
 	l.socket = udp
 	transport := l.transport(udp)
