--- a/cmd/masticsparctl/table.go
+++ b/cmd/masticsparctl/table.go
@@ -26,10 +26,10 @@
 	}
 	return c.write(f, func(w io.Writer) {
 		table(w, [][]any{
-			{"FLOW", "SERVICE", "OWNER", "BACKUP", "HOST", "STATE", "IDLE"},
+			{"FLOW", "SERVICE", "OWNER", "BACKUP", "HOST", "STATE", "WHY"},
 			{
 				fmt.Sprintf("%s/%s>%s", f.Protocol, f.Source, f.Destination), orDash(f.Service), orDash(f.Owner),
-				orDash(f.Backup), orDash(f.Host), orDash(f.State), age(f.IdleSeconds),
+				orDash(f.Backup), orDash(f.Host), orDash(f.State), f.Why,
 			},
 		})
 	})
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -9,6 +9,7 @@
 
 	"github.com/masticspar/masticspar/internal/capacity"
 	"github.com/masticspar/masticspar/internal/fleet"
+	"github.com/masticspar/masticspar/internal/flow"
 	"github.com/masticspar/masticspar/internal/operator"
 	"github.com/masticspar/masticspar/internal/packet"
 	"github.com/masticspar/masticspar/internal/signal"
@@ -155,14 +156,34 @@
 	if backup != nil {
 		f.Backup = backup.Name
 	}
-	if pin, ok := e.flows.Get(now, &k); ok {
-		f.State = pin.State
-		if h := e.hostByID(pin.Service, pin.Host); h != nil {
-			f.Host = h.Name
-		}
+	pin, ok := e.flows.Get(now, &k)
+	if !ok {
+		f.Why = "no pin here: ask the owner, or the flow is not open"
+		return f, nil
 	}
+	f.State = pin.State
+	if h := e.hostByID(pin.Service, pin.Host); h != nil {
+		f.Host = h.Name
+	}
+	f.Why = e.why(s, &k, pin)
 	return f, nil
 }
 
+// why explains the host of a pin.
+func (e *Engine) why(s *fleet.Service, k *packet.Key, pin flow.Pin) string {
+	switch {
+	case pin.Searching:
+		return "the host is being searched for with probes"
+	case pin.State == "unverified":
+		return "a guess that has not been verified since a takeover, a pause or a hint"
+	}
+	for i, h := range e.model.Rank(s, k, nil) {
+		if h.ID == pin.Host {
+			return fmt.Sprintf("number %d of %d in the present rank of the flow by learned capacity", i+1, len(s.Hosts))
+		}
+	}
+	return "the host is no longer in the inventory"
+}
+
 // OpenFlows returns the number of pins.
 func (e *Engine) OpenFlows() int { return e.flows.Len() }
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -97,8 +97,8 @@
 	// Host and State describe the pin; they are empty when this VM has none.
 	Host  string `json:"host"`
 	State string `json:"state"`
-	// IdleSeconds is the time since the last packet.
-	IdleSeconds float64 `json:"idle-seconds"`
+	// Why explains the host, or why there is none.
+	Why string `json:"why"`
 }
 
 // Drain is the answer to the request for a graceful shutdown.
