Share the rendezvous score between owners and hosts

Cause: capacity and rendezvous both mapped a hash and a weight to a score. Change: rendezvous.Score serves both; the hashes stay as they are, so that no rank changes.

--- a/internal/capacity/pick.go
+++ b/internal/capacity/pick.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/binary"
-	"math"
 	"slices"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	"github.com/masticspar/masticspar/internal/fleet"
 	"github.com/masticspar/masticspar/internal/packet"
+	"github.com/masticspar/masticspar/internal/rendezvous"
 )
 
 // Refusals of Pick; their text is the reason in the name of the refusal counter.
@@ -188,13 +188,10 @@
 	return h.live()*(1+currentPart*h.scale) + (1-currentPart)*h.others.outstanding
 }
 
-// score is the weighted rendezvous score of a host for a flow: the host with the greatest score gets the flow, and
-// each host is first with a probability in proportion to its weight.
+// score is the weighted rendezvous score of a host for a flow.
 func score(host, flow uint64, weight float64) float64 {
 	var b [16]byte
 	binary.LittleEndian.PutUint64(b[:8], host)
 	binary.LittleEndian.PutUint64(b[8:], flow)
-	// The top 53 bits give a number strictly between 0 and 1.
-	u := (float64(xxhash.Sum64(b[:])>>11) + 0.5) / (1 << 53)
-	return -weight / math.Log(u)
+	return rendezvous.Score(xxhash.Sum64(b[:]), weight)
 }
--- a/internal/rendezvous/ranker.go
+++ b/internal/rendezvous/ranker.go
@@ -43,7 +43,7 @@
 	binary.LittleEndian.PutUint64(b[:], r.flow)
 	binary.LittleEndian.PutUint64(b[8:], name)
 	hash := xxhash.Sum64(b[:])
-	r.candidates = append(r.candidates, candidate{score: score(hash, weight), hash: hash, index: len(r.candidates)})
+	r.candidates = append(r.candidates, candidate{score: Score(hash, weight), hash: hash, index: len(r.candidates)})
 }
 
 // First returns the positions, in the order of Add, of the first n names of the rank; the slice is valid until the
@@ -70,8 +70,9 @@
 	return r.order
 }
 
-// score maps the hash to -weight/ln(u) with u evenly spread between 0 and 1, both excluded.
-func score(hash uint64, weight float64) float64 {
+// Score maps the hash of a name and a flow to -weight/ln(u) with u evenly spread between 0 and 1, both excluded. The
+// greatest score is first, for a share of the flows that is proportional to the weight.
+func Score(hash uint64, weight float64) float64 {
 	if !(weight > 0) { // The negation also catches NaN.
 		return 0
 	}
