Build every package in make lint and mend the one that did not build

Cause: the in-memory fleet moved out of test files but one of its methods stayed in one, so that go build ./... failed in internal/standin/sizing. Change: the method moves, and make lint builds all packages first. Result: go build ./... failed with 'v.live undefined' before and passes now.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 
 lint:
 	@test -z "$$(gofumpt -l .)" || { gofumpt -d . ; exit 1; }
+	go build $(PACKAGES) # Vet and the tests do not see a package that needs its test files to build.
 	go vet $(PACKAGES)
 	golangci-lint run $(PACKAGES)
 
--- a/internal/standin/sizing/fleet_test.go
+++ b/internal/standin/sizing/fleet_test.go
@@ -149,17 +149,6 @@
 	}
 }
 
-// live returns the number of members that are not dead.
-func (v *vm) live() int {
-	live := 0
-	for _, m := range v.Members() {
-		if m.State != member.Dead {
-			live++
-		}
-	}
-	return live
-}
-
 // knows reports whether v knows the present process of every VM as live.
 func (v *vm) knows(n *network) bool {
 	known := 0
--- a/internal/standin/sizing/network.go
+++ b/internal/standin/sizing/network.go
@@ -303,3 +303,14 @@
 	}
 	return list
 }
+
+// live returns the number of members that are not dead.
+func (v *vm) live() int {
+	live := 0
+	for _, m := range v.Members() {
+		if m.State != member.Dead {
+			live++
+		}
+	}
+	return live
+}
