Share the strict CBOR decoder and the JSON bodies of control addresses

The fourth, in entry, said that it refuses unknown fields but did not set the option. Change: strict.NewDecoder serves all four with their own bounds, so entry now refuses unknown fields, indefinite lengths, tags and invalid UTF-8 as the others do. control.Reply and control.Decode serve the stand-ins. packet.Probe is removed: the flow table builds its probes itself. Result: make lint and the tests of the changed packages pass.

--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -7,6 +7,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
+
+	"github.com/masticspar/masticspar/internal/strict"
 )
 
 const (
@@ -64,21 +66,7 @@
 	Offered     []uint32 `cbor:"9,keyasint,omitempty"`
 }
 
-var decoder = func() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		MaxNestedLevels:   4,
-		MaxArrayElements:  maxHosts,
-		MaxMapPairs:       16,
-	}.DecMode()
-	if err != nil {
-		panic(err) // The options above are constant.
-	}
-	return mode
-}()
+var decoder = strict.NewDecoder(maxHosts, 4)
 
 // fields returns the columns beside the field of Sums that each one holds.
 func (c *columns) fields() [7]struct {
--- a/internal/entry/messages.go
+++ b/internal/entry/messages.go
@@ -13,18 +13,11 @@
 	"github.com/masticspar/masticspar/internal/fleet"
 	"github.com/masticspar/masticspar/internal/member"
 	"github.com/masticspar/masticspar/internal/spread"
+	"github.com/masticspar/masticspar/internal/strict"
 )
 
 // decoder refuses unknown fields and bounds what a message may contain.
-var decoder = func() cbor.DecMode {
-	m, err := cbor.DecOptions{
-		MaxArrayElements: 4096, MaxMapPairs: 64, MaxNestedLevels: 8, DupMapKey: cbor.DupMapKeyEnforcedAPF,
-	}.DecMode()
-	if err != nil {
-		panic(err) // The options are constants.
-	}
-	return m
-}()
+var decoder = strict.NewDecoder(4096, 8)
 
 // Message is a decoded message of another entry VM.
 type Message struct {
--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -5,6 +5,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
+
+	"github.com/masticspar/masticspar/internal/strict"
 )
 
 const (
@@ -111,22 +113,7 @@
 	More bool `cbor:"8,keyasint,omitempty"`
 }
 
-var decoder = func() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		UTF8:              cbor.UTF8RejectInvalid,
-		MaxNestedLevels:   5,
-		MaxArrayElements:  maxUpdates,
-		MaxMapPairs:       16,
-	}.DecMode()
-	if err != nil {
-		panic(err) // The options are constant.
-	}
-	return mode
-}()
+var decoder = strict.NewDecoder(maxUpdates, 5)
 
 // Encode returns the CBOR form of m.
 func Encode(m Message) ([]byte, error) {
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -142,9 +142,3 @@
 func (p *Packet) Refusal() Segment {
 	return Segment{Key: p.Key.Reverse(), Ack: p.End(), RST: true, ACK: true}
 }
-
-// Probe returns a TCP keep-alive made from this packet. It carries no payload. A server that holds the connection
-// answers with an ACK and one that does not answers with a reset.
-func (p *Packet) Probe() Segment {
-	return Segment{Key: p.Key, Seq: p.Seq - 1, Ack: p.Ack, ACK: true}
-}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
+
+	"github.com/masticspar/masticspar/internal/strict"
 )
 
 const (
@@ -35,22 +37,7 @@
 	Body []byte `cbor:"3,keyasint"`
 }
 
-var decoder = func() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		UTF8:              cbor.UTF8RejectInvalid,
-		MaxNestedLevels:   4,
-		MaxArrayElements:  16,
-		MaxMapPairs:       16,
-	}.DecMode()
-	if err != nil {
-		panic(err) // The options are constant.
-	}
-	return mode
-}()
+var decoder = strict.NewDecoder(16, 4)
 
 // Encode returns the CBOR form of m.
 func Encode(m Message) ([]byte, error) {
--- a/internal/standin/backend/control.go
+++ b/internal/standin/backend/control.go
@@ -1,9 +1,10 @@
 package backend
 
 import (
-	"encoding/json"
 	"net/http"
 	"net/netip"
+
+	"github.com/masticspar/masticspar/internal/standin/control"
 )
 
 // Health is the answer of the health and load endpoint of a host.
@@ -22,33 +23,33 @@
 //	GET /tokens?repeated=    times that each request was executed, or only of those executed more than once
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /hosts", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Hosts()) })
+	mux.HandleFunc("GET /hosts", func(w http.ResponseWriter, _ *http.Request) { control.Reply(w, s.Hosts()) })
 	mux.HandleFunc("GET /tokens", func(w http.ResponseWriter, r *http.Request) {
-		reply(w, s.Tokens(r.URL.Query().Get("repeated") != ""))
+		control.Reply(w, s.Tokens(r.URL.Query().Get("repeated") != ""))
 	})
 	mux.HandleFunc("PUT /mode", func(w http.ResponseWriter, r *http.Request) {
 		var mode Mode
-		if decode(w, r, &mode) {
+		if control.Decode(w, r, &mode) {
 			found(w, s.SetMode(r.URL.Query().Get("host"), mode))
 		}
 	})
 	mux.HandleFunc("PUT /blocked", func(w http.ResponseWriter, r *http.Request) {
 		var sources []netip.Addr
-		if decode(w, r, &sources) {
+		if control.Decode(w, r, &sources) {
 			found(w, s.SetBlocked(r.URL.Query().Get("host"), sources))
 		}
 	})
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, r *http.Request) {
 		var h Health
 		if s.each(r.URL.Query().Get("host"), func(m *machine) { h = m.health() }) {
-			reply(w, h)
+			control.Reply(w, h)
 			return
 		}
 		found(w, false)
 	})
 	mux.HandleFunc("PUT /health", func(w http.ResponseWriter, r *http.Request) {
 		var h Health
-		if decode(w, r, &h) {
+		if control.Decode(w, r, &h) {
 			found(w, s.each(r.URL.Query().Get("host"), func(m *machine) { m.claim = &h }))
 		}
 	})
@@ -66,21 +67,6 @@
 	return Health{Healthy: m.host.Mode.Kind != Dead, Load: float64(requests) / float64(m.host.slots())}
 }
 
-func reply(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v) // an error means that the client has gone
-}
-
-func decode(w http.ResponseWriter, r *http.Request, v any) bool {
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<20))
-	d.DisallowUnknownFields()
-	if err := d.Decode(v); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
 func found(w http.ResponseWriter, ok bool) {
 	if !ok {
 		http.Error(w, "no such host", http.StatusNotFound)
