Forward by token on the users' platform

masticspar had no mode for servers that answer callers directly and no reader of the users' store. The watcher of the configuration service is now package publication, because platform names the adapter.

--- a/cmd/masticspard/daemon.go
+++ b/cmd/masticspard/daemon.go
@@ -17,7 +17,7 @@
 	"github.com/masticspar/masticspar/internal/member"
 	"github.com/masticspar/masticspar/internal/operator"
 	"github.com/masticspar/masticspar/internal/peer"
-	"github.com/masticspar/masticspar/internal/platform"
+	"github.com/masticspar/masticspar/internal/publication"
 	"github.com/masticspar/masticspar/internal/settings"
 	"github.com/masticspar/masticspar/internal/timer"
 )
@@ -166,7 +166,7 @@
 }
 
 func (d *daemon) startPlatform() (func(), error) {
-	_, stop, err := platform.New(platform.Config{
+	_, stop, err := publication.New(publication.Config{
 		URL:  d.settings.Platform,
 		Seed: uint64(time.Now().UnixNano()),
 		Version: func(kind fleet.Kind) uint64 {
@@ -186,7 +186,7 @@
 	return stop, errors.Annotate(err, "platform")
 }
 
-func (d *daemon) tryVMs(list []platform.VM) {
+func (d *daemon) tryVMs(list []publication.VM) {
 	addresses := make([]netip.AddrPort, 0, len(list))
 	for _, vm := range list {
 		if a, err := netip.ParseAddrPort(vm.ControlAddress); err == nil {
--- a/cmd/masticspard/main.go
+++ b/cmd/masticspard/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/signal"
@@ -14,7 +15,9 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	directsettings "github.com/masticspar/masticspar/internal/direct/settings"
 	"github.com/masticspar/masticspar/internal/settings"
+	"github.com/masticspar/masticspar/internal/stream"
 )
 
 // Exit codes.
@@ -38,9 +41,7 @@
 	flaggy.Bool(&check, "c", "check", "only check the settings")
 	flaggy.Parse()
 
-	encoder := zap.NewProductionEncoderConfig()
-	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	log := zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(encoder), zapcore.Lock(os.Stderr), zapcore.InfoLevel))
+	log := newLogger(zapcore.Lock(os.Stderr))
 	if err := run(file, check, log); err != nil {
 		log.Error("stopped", zap.Error(err))
 		if errors.Is(err, errSettings) {
@@ -55,6 +56,9 @@
 	if err != nil {
 		return errors.WithType(err, errSettings)
 	}
+	if forwardsByToken(b) {
+		return runDirect(file, b, check)
+	}
 	s, err := settings.Decode(file, b)
 	if err != nil {
 		return errors.WithType(err, errSettings)
@@ -87,6 +91,54 @@
 	return nil
 }
 
+// forwardsByToken reports whether settings select the mode of package direct; they are checked later.
+func forwardsByToken(b []byte) bool {
+	var s struct {
+		Forwarding string `json:"forwarding"`
+	}
+	return json.Unmarshal(b, &s) == nil && s.Forwarding == directsettings.Forwarding
+}
+
+// runDirect runs the daemon that forwards by token. It logs to standard output, without waiting for its reader.
+func runDirect(file string, b []byte, check bool) error {
+	s, err := directsettings.Decode(file, b)
+	if err != nil {
+		return errors.WithType(err, errSettings)
+	}
+	if check {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	}
+	out, closeLog := stream.New(os.Stdout, 0)
+	defer closeLog()
+	log := newLogger(out).With(zap.String("name", s.Name))
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	d, stop, err := newDirectDaemon(s, log)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	v := <-signals
+	log.Info("signal-received", zap.Stringer("signal", v))
+	if err := d.drain(signals); err != nil {
+		return err // Nothing is closed in order, so that the process ends at once.
+	}
+	stop()
+	log.Info("stopped")
+	return nil
+}
+
+// newLogger writes one line of key=value pairs for each event.
+func newLogger(out zapcore.WriteSyncer) *zap.Logger {
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	encoder.EncodeDuration = zapcore.StringDurationEncoder
+	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(encoder), out, zapcore.InfoLevel))
+}
+
 // limitMemory keeps the heap from doubling between two collections, so that a full flow table fits the 256 MB that a
 // daemon may use for control. GOMEMLIMIT in the environment goes first.
 func limitMemory(flowCapacity int) {
--- /dev/null
+++ b/internal/direct/engine.go
@@ -0,0 +1,161 @@
+package direct
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/masticspar/masticspar/internal/placement"
+	"github.com/masticspar/masticspar/internal/register"
+	"github.com/masticspar/masticspar/internal/signal"
+	"github.com/masticspar/masticspar/internal/track"
+)
+
+const (
+	// TickPeriod is the time between two calls of Tick.
+	TickPeriod = 100 * time.Millisecond
+	// copyDelay is how long after its SYN a flow stays with its server. Callers send copies after 200 ms; an earlier
+	// one means that packets waited here.
+	copyDelay = 150 * time.Millisecond
+)
+
+// Action is what is to be done with a packet.
+type Action uint8
+
+// Actions.
+const (
+	Drop Action = iota
+	Forward
+	Reset
+)
+
+// Reasons of resets and drops besides those of placement.
+const (
+	NoRoute      = "no-route"
+	NoPicture    = "no-picture"
+	UnknownToken = "unknown-token"
+	LateSYN      = "late-syn"
+	HostDead     = "host-dead"
+	HostReplaced = "host-replaced"
+	Waking       = "waking"
+)
+
+// Verdict is the decision about a packet.
+type Verdict struct {
+	// Action is what is to be done.
+	Action Action
+	// Host gets a packet that is forwarded; its token goes into the packet.
+	Host *register.Lifetime
+	// Reason says why a packet is dropped or its flow reset.
+	Reason string
+	// Again says that an earlier SYN of the flow went to another server.
+	Again bool
+}
+
+// Engine decides about the packets that reach one entry VM; the zero value waits for a picture.
+type Engine struct {
+	// Register is the picture of servers and routes.
+	Register register.Register
+	// Placement chooses servers.
+	Placement placement.Model
+	// Flows observes the flows.
+	Flows track.Table
+}
+
+// Start connects the parts; it is called once.
+func (e *Engine) Start() {
+	e.Flows.Observe = func(now time.Duration, ev signal.Event) { e.Placement.Observe(now, ev) }
+}
+
+// Packet decides about a packet of a caller.
+func (e *Engine) Packet(now time.Duration, p *track.Packet) Verdict {
+	if p.SYN {
+		return e.open(now, p)
+	}
+	l := e.Register.Lifetime(p.Token)
+	if l == nil {
+		return Verdict{Reason: UnknownToken}
+	}
+	repeated := e.Flows.Packet(now, p, l.Token)
+	if p.RST {
+		return Verdict{Action: Forward, Host: l}
+	}
+	if l.Replaced {
+		e.Flows.Forget(now, p.Key)
+		return Verdict{Action: Reset, Host: l, Reason: HostReplaced}
+	}
+	// Callers repeat only idempotent requests on their own, so a reset helps no other flow.
+	if repeated && e.Placement.Dead(now, l.Token) {
+		if r := e.Register.Route(p.Service); r != nil && r.Idempotent {
+			e.Flows.Forget(now, p.Key)
+			return Verdict{Action: Reset, Host: l, Reason: HostDead}
+		}
+	}
+	return Verdict{Action: Forward, Host: l}
+}
+
+func (e *Engine) open(now time.Duration, p *track.Packet) Verdict {
+	if e.Register.Version() == 0 {
+		return Verdict{Reason: NoPicture}
+	}
+	r := e.Register.Route(p.Service)
+	if r == nil {
+		return Verdict{Action: Reset, Reason: NoRoute}
+	}
+	hash := hashOf(p.Key)
+	var tried []uint32
+	f := e.Flows.Get(p.Key)
+	if f != nil {
+		if f.Open {
+			return Verdict{Reason: LateSYN}
+		}
+		if now-f.Sent < copyDelay {
+			if l := e.Register.Lifetime(f.Host); l != nil {
+				return Verdict{Action: Forward, Host: l}
+			}
+		}
+		tried = append(append(tried, f.Tried...), f.Host)
+	}
+	l, reason := e.Placement.Pick(now, e.Register.Hosts(service(r, hash)), hash, tried)
+	if l == nil {
+		return Verdict{Action: Reset, Reason: reason}
+	}
+	e.Flows.Open(now, p.Key, l.Token)
+	return Verdict{Action: Forward, Host: l, Again: len(tried) > 0}
+}
+
+// Tick does what is due.
+func (e *Engine) Tick(now time.Duration) {
+	e.Register.Sweep(now)
+	e.Flows.Sweep(now)
+}
+
+// service returns the service of a flow. The same flow gets the same one at every entry VM.
+func service(r *register.Route, hash uint64) string {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	sum := 0.0
+	for _, t := range r.Targets {
+		sum += t.Weight
+	}
+	// The lower bits of the hash, because placement mixes all of them.
+	x := float64(hash%(1<<32)) / (1 << 32) * sum
+	for _, t := range r.Targets {
+		if x -= t.Weight; x < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+func hashOf(k track.Key) uint64 {
+	var b [36]byte
+	caller, service := k.Caller.Addr().As16(), k.Service.Addr().As16()
+	copy(b[:], caller[:])
+	copy(b[16:], service[:])
+	binary.BigEndian.PutUint16(b[32:], k.Caller.Port())
+	binary.BigEndian.PutUint16(b[34:], k.Service.Port())
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/internal/direct/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings has the settings of an entry VM that forwards by token.
+package settings
--- /dev/null
+++ b/internal/direct/settings/settings.go
@@ -0,0 +1,96 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/document"
+)
+
+// Forwarding is the value of the field forwarding that selects this mode.
+const Forwarding = "token"
+
+// Settings are the settings of one entry VM that forwards by token.
+type Settings struct {
+	// Forwarding selects the mode; it is "token".
+	Forwarding string `json:"forwarding"`
+	// Name is the name of the VM, unique in the whole system.
+	Name string `json:"name"`
+	// Region and AvailabilityZone are where the VM runs.
+	Region           string `json:"region"`
+	AvailabilityZone string `json:"availability-zone"`
+
+	// DataAddress receives the packets of callers.
+	DataAddress netip.AddrPort `json:"data-address"`
+	// CallerPort is the port at which callers receive packets; zero selects the port of DataAddress.
+	CallerPort int `json:"caller-port"`
+	// OperatorAddress serves readiness by HTTP.
+	OperatorAddress netip.AddrPort `json:"operator-address"`
+	// MetricsAddress serves the metrics by HTTP.
+	MetricsAddress netip.AddrPort `json:"metrics-address"`
+	// Store is the address of the store with the asset register and the configuration.
+	Store netip.AddrPort `json:"store"`
+
+	// SettleTime is the time after a fault from which on the bounds below hold again.
+	SettleTime document.Duration `json:"settle-time"`
+	// DrainBound is the time after which a leaving backend server must get no new flow.
+	DrainBound document.Duration `json:"drain-bound"`
+	// ConfigurationBound is the time after which a new configuration must be in force.
+	ConfigurationBound document.Duration `json:"configuration-bound"`
+	// StopTimeout is the time from SIGTERM to the end of the process at the latest.
+	StopTimeout document.Duration `json:"stop-timeout"`
+	// FlowLifetime is the age up to which an open flow is kept.
+	FlowLifetime document.Duration `json:"flow-lifetime"`
+	// MemoryMB is the memory of the VM in megabytes.
+	MemoryMB int `json:"memory-mb"`
+	// Placement is "answer-time" or, as a baseline for measurements, "hash".
+	Placement string `json:"placement"`
+}
+
+// SetDefaults sets the fields that a file may leave out.
+func (s *Settings) SetDefaults() {
+	s.SettleTime = document.Duration(4 * time.Second)
+	s.DrainBound = document.Duration(3 * time.Second)
+	s.ConfigurationBound = document.Duration(3 * time.Second)
+	s.StopTimeout = document.Duration(6 * time.Second)
+	s.FlowLifetime = document.Duration(time.Minute)
+	s.MemoryMB = 256
+	s.Placement = "answer-time"
+}
+
+// Decode reads settings strictly and validates them; file is the name that errors carry.
+func Decode(file string, b []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := document.Decode(file, b, s); err != nil {
+		return nil, err
+	}
+	if err := s.Validate(file); err != nil {
+		return nil, err
+	}
+	if s.CallerPort == 0 {
+		s.CallerPort = int(s.DataAddress.Port())
+	}
+	return s, nil
+}
+
+// Validate returns the first fault of the settings; file is the name that errors carry.
+func (s *Settings) Validate(file string) error {
+	c := &document.Checker{Document: file}
+	c.That(s.Forwarding == Forwarding, "forwarding", `"token"`, s.Forwarding)
+	c.Name("name", s.Name)
+	c.Name("region", s.Region)
+	c.Name("availability-zone", s.AvailabilityZone)
+	c.Address("data-address", s.DataAddress)
+	c.Integer("caller-port", s.CallerPort, 0, 65535)
+	c.Address("operator-address", s.OperatorAddress)
+	c.Address("metrics-address", s.MetricsAddress)
+	c.Address("store", s.Store)
+	c.Duration("settle-time", s.SettleTime, 500*time.Millisecond, time.Minute)
+	c.Duration("drain-bound", s.DrainBound, 500*time.Millisecond, time.Hour)
+	c.Duration("configuration-bound", s.ConfigurationBound, 500*time.Millisecond, time.Hour)
+	c.Duration("stop-timeout", s.StopTimeout, 500*time.Millisecond, time.Hour)
+	c.Duration("flow-lifetime", s.FlowLifetime, time.Second, 24*time.Hour)
+	c.Integer("memory-mb", s.MemoryMB, 16, 1<<20)
+	c.That(s.Placement == "answer-time" || s.Placement == "hash", "placement", `"answer-time" or "hash"`, s.Placement)
+	return c.Err()
+}
--- /dev/null
+++ b/internal/register/register.go
@@ -0,0 +1,339 @@
+package register
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// DefaultLapse is the time that a server needs to be listed again after an outage of the store.
+const DefaultLapse = 2200 * time.Millisecond
+
+// DefaultRetention is the time for which the token of a former lifetime is known.
+const DefaultRetention = 90 * time.Second
+
+// Host is one start of a backend server as the asset register lists it.
+type Host struct {
+	// Name identifies the server; it may stay the same over a restart.
+	Name string
+	// Number is the form of the name that datagrams to the server carry.
+	Number uint64
+	// Service is the name of the service that the server offers.
+	Service string
+	// Address receives the packets of flows; another server may get it later.
+	Address netip.AddrPort
+	// AvailabilityZone is where the server runs.
+	AvailabilityZone string
+	// Slots is the number of requests that the server works on at the same time.
+	Slots int
+	// Leaving says that the server shuts down and must get no new flow.
+	Leaving bool
+	// Cold is how much longer the server is slow after its start.
+	Cold time.Duration
+	// Started is the time of the start in Unix milliseconds.
+	Started int64
+}
+
+// Target is a service that a route sends a part of its flows to.
+type Target struct {
+	// Service is the name of the service.
+	Service string
+	// Weight is the part relative to the other targets.
+	Weight float64
+}
+
+// Route sends the flows of one address to services.
+type Route struct {
+	// Name is the name of the route.
+	Name string
+	// Address is the address and port that callers connect to.
+	Address netip.AddrPort
+	// Targets are the services; at least one.
+	Targets []Target
+	// Idempotent says that callers may repeat a request after any failure.
+	Idempotent bool
+	// Goal is the response time that callers expect, and Timeout the time after which they give up.
+	Goal, Timeout time.Duration
+}
+
+// Configuration is one version of the operators' configuration.
+type Configuration struct {
+	// Version grows with each change.
+	Version uint64
+	// Routes are all routes in force.
+	Routes []Route
+}
+
+// Change is one change of the published state.
+type Change struct {
+	// Name is the server that changed; empty for a configuration.
+	Name string
+	// Host is the new entry of the server; nil when it has none or one that cannot be used.
+	Host *Host
+	// Configuration is a published configuration.
+	Configuration *Configuration
+	// Fault says why an entry cannot be used; empty for removed and good ones.
+	Fault string
+}
+
+// State is what an entry VM believes about a lifetime.
+type State uint8
+
+// States of a lifetime. Only Ready and Lapsed ones take new flows.
+const (
+	Ready State = iota
+	Leaving
+	Lapsed // the entry vanished while the store was away
+	Gone
+)
+
+// String returns the name of the state.
+func (s State) String() string {
+	return [...]string{"ready", "leaving", "lapsed", "gone"}[s]
+}
+
+// Lifetime is one start of a backend server with what is believed about it.
+type Lifetime struct {
+	Host
+	// Token names the lifetime in packets.
+	Token uint32
+	// State is the current belief and Since the time of its last change.
+	State State
+	// Since is when the state changed.
+	Since time.Duration
+	// Seen is when the lifetime was first listed.
+	Seen time.Duration
+	// ColdUntil is when the server stops being slow after its start.
+	ColdUntil time.Duration
+	// Replaced says that the server ended for certain: its name or its address has a newer lifetime.
+	Replaced bool
+}
+
+// Register is the current picture; the zero value is empty and ready for use.
+type Register struct {
+	// Lapse is how long a lapsed lifetime takes new flows; zero selects DefaultLapse.
+	Lapse time.Duration
+	// Retention is how long the token of a former lifetime is known; zero selects DefaultRetention.
+	Retention time.Duration
+	// Changed is called after each change of belief about a lifetime, with the former state; it may be nil.
+	Changed func(now time.Duration, l *Lifetime, before State)
+
+	version   uint64
+	routes    map[netip.AddrPort]*Route
+	names     map[string]*Lifetime
+	tokens    map[uint32]*Lifetime
+	addresses map[netip.AddrPort]*Lifetime
+	services  map[string][]*Lifetime
+	revision  uint64
+}
+
+// NewToken returns the token of a lifetime; it is never 0, which packets carry before they have a token.
+func NewToken(name string, started int64) uint32 {
+	var d xxhash.Digest
+	d.Reset()
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(started))
+	_, _ = d.Write(b[:])
+	_, _ = d.WriteString(name)
+	if t := uint32(d.Sum64()); t != 0 {
+		return t
+	}
+	return 1
+}
+
+// Version returns the version of the configuration in force; 0 means none.
+func (r *Register) Version() uint64 { return r.version }
+
+// Revision counts the changes of the lifetimes that take new flows.
+func (r *Register) Revision() uint64 { return r.revision }
+
+// Route returns the route of an address or nil.
+func (r *Register) Route(a netip.AddrPort) *Route { return r.routes[a] }
+
+// Lifetime returns the lifetime with the given token or nil.
+func (r *Register) Lifetime(token uint32) *Lifetime { return r.tokens[token] }
+
+// Hosts returns the lifetimes of a service that take new flows; the caller must not change the list.
+func (r *Register) Hosts(service string) []*Lifetime { return r.services[service] }
+
+// Each calls f for each lifetime whose token is known.
+func (r *Register) Each(f func(*Lifetime)) {
+	for _, l := range r.tokens {
+		f(l)
+	}
+}
+
+// Complete reports whether the picture can serve callers.
+func (r *Register) Complete() bool { return r.version > 0 && len(r.services) > 0 }
+
+// Apply takes a change. Away says that the store was away within the last moments, so that a removed entry may only
+// have lapsed. It reports whether the change altered the picture.
+func (r *Register) Apply(now time.Duration, c Change, away bool) bool {
+	switch {
+	case c.Configuration != nil:
+		return r.configure(c.Configuration)
+	case c.Host != nil:
+		return r.list(now, c.Host)
+	}
+	l := r.names[c.Name]
+	if l == nil {
+		return false
+	}
+	if c.Fault == "" && away && l.State == Ready {
+		return r.set(now, l, Lapsed)
+	}
+	if l.State == Lapsed {
+		return false // Sweep decides.
+	}
+	return r.set(now, l, Gone)
+}
+
+// Replace takes a complete reading of the servers. Servers that it does not name lapsed or are gone, as in Apply.
+func (r *Register) Replace(now time.Duration, changes []Change, away bool) {
+	named := make(map[string]bool, len(changes))
+	for _, c := range changes {
+		if c.Name != "" {
+			named[c.Name] = true
+		}
+		r.Apply(now, c, away)
+	}
+	for name := range r.names {
+		if !named[name] {
+			r.Apply(now, Change{Name: name}, away)
+		}
+	}
+}
+
+// Sweep ends the lapse of servers that were not listed again and forgets former lifetimes.
+func (r *Register) Sweep(now time.Duration) {
+	lapse, retention := r.Lapse, r.Retention
+	if lapse == 0 {
+		lapse = DefaultLapse
+	}
+	if retention == 0 {
+		retention = DefaultRetention
+	}
+	for token, l := range r.tokens {
+		switch {
+		case l.State == Lapsed && now-l.Since >= lapse:
+			r.set(now, l, Gone)
+		case l.State == Gone && now-l.Since >= retention:
+			delete(r.tokens, token)
+			if r.names[l.Name] == l {
+				delete(r.names, l.Name)
+			}
+			if r.addresses[l.Address] == l {
+				delete(r.addresses, l.Address)
+			}
+		}
+	}
+}
+
+// Postpone restarts the lapse of all lapsed servers, while the store is away.
+func (r *Register) Postpone(now time.Duration) {
+	for _, l := range r.names {
+		if l.State == Lapsed {
+			l.Since = now
+		}
+	}
+}
+
+func (r *Register) configure(c *Configuration) bool {
+	if c.Version <= r.version {
+		return false
+	}
+	r.version = c.Version
+	r.routes = make(map[netip.AddrPort]*Route, len(c.Routes))
+	for i := range c.Routes {
+		r.routes[c.Routes[i].Address] = &c.Routes[i]
+	}
+	return true
+}
+
+func (r *Register) list(now time.Duration, h *Host) bool {
+	if r.names == nil {
+		r.names, r.tokens = map[string]*Lifetime{}, map[uint32]*Lifetime{}
+		r.addresses, r.services = map[netip.AddrPort]*Lifetime{}, map[string][]*Lifetime{}
+	}
+	l := r.names[h.Name]
+	if l != nil && h.Started < l.Started {
+		return false // An answer that was overtaken.
+	}
+	if l == nil || l.Started != h.Started {
+		if l != nil {
+			l.Replaced = true
+			r.set(now, l, Gone)
+		}
+		l = r.add(now, h)
+	}
+	moved := l.Address != h.Address || l.Service != h.Service
+	if moved {
+		r.remove(l)
+	}
+	l.Host = *h
+	l.ColdUntil = now + h.Cold
+	r.occupy(now, l)
+	state := Ready
+	if h.Leaving {
+		state = Leaving
+	}
+	return r.set(now, l, state) || moved
+}
+
+// add creates a lifetime. Of two lifetimes with one token the first keeps it; the other takes no flows.
+func (r *Register) add(now time.Duration, h *Host) *Lifetime {
+	l := &Lifetime{Host: *h, Token: NewToken(h.Name, h.Started), State: Gone, Since: now, Seen: now}
+	if r.tokens[l.Token] != nil {
+		l.Token = 0
+	} else {
+		r.tokens[l.Token] = l
+	}
+	r.names[h.Name] = l
+	return l
+}
+
+// occupy gives the address of l to l, if no later lifetime has it.
+func (r *Register) occupy(now time.Duration, l *Lifetime) {
+	other := r.addresses[l.Address]
+	if other == l {
+		return
+	}
+	if other != nil {
+		if other.Started > l.Started {
+			return
+		}
+		other.Replaced = true
+		r.set(now, other, Gone)
+	}
+	r.addresses[l.Address] = l
+}
+
+func (r *Register) set(now time.Duration, l *Lifetime, s State) bool {
+	before := l.State
+	if before == s || l.Replaced && s != Gone {
+		return false
+	}
+	l.State, l.Since = s, now
+	r.revision++
+	r.remove(l)
+	if (s == Ready || s == Lapsed) && l.Token != 0 {
+		r.services[l.Service] = append(slices.Clip(r.services[l.Service]), l)
+	}
+	if r.Changed != nil {
+		r.Changed(now, l, before)
+	}
+	return true
+}
+
+func (r *Register) remove(l *Lifetime) {
+	list := r.services[l.Service]
+	if i := slices.Index(list, l); i >= 0 {
+		r.services[l.Service] = slices.Delete(slices.Clone(list), i, i+1)
+	}
+	if len(r.services[l.Service]) == 0 {
+		delete(r.services, l.Service)
+	}
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,185 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+	"gopkg.in/tomb.v2"
+
+	"github.com/masticspar/masticspar/internal/counter"
+	"github.com/masticspar/masticspar/internal/register"
+)
+
+// Errors of a store that Read and Watch return; all others count as unreachable.
+const (
+	ErrForgotten = errors.ConstError("the store has dropped this history")
+	ErrRefused   = errors.ConstError("the store refused the call")
+)
+
+const (
+	// readTimeout bounds one call that the store answers at once; a slow store takes up to 0.25 s.
+	readTimeout = 1500 * time.Millisecond
+	// watchMargin is how much later than asked a waiting call may be answered.
+	watchMargin = 700 * time.Millisecond
+	// firstDelay and lastDelay bound the time between two tries; every call counts against the limit of the store.
+	firstDelay = 100 * time.Millisecond
+	lastDelay  = 1200 * time.Millisecond
+	// recentAway is how long after an outage a vanished entry may only have lapsed.
+	recentAway = 4 * time.Second
+)
+
+// Page is a part of the published state or a list of changes to it.
+type Page struct {
+	// Changes are the entries or changes in order.
+	Changes []register.Change
+	// Revision is the revision of the store to continue from.
+	Revision uint64
+	// Next continues the reading; empty at its end.
+	Next string
+}
+
+// Config has the seams and settings of a Replica.
+type Config struct {
+	// Read returns the page after the given position; empty for the first one.
+	Read func(ctx context.Context, after string) (Page, error)
+	// Watch returns changes after the revision as soon as there is one, or none after the wait.
+	Watch func(ctx context.Context, after uint64, wait time.Duration) (Page, error)
+	// Replace takes a complete reading; away says that the store was away within the last moments.
+	Replace func(changes []register.Change, away bool)
+	// Apply takes changes in order.
+	Apply func(changes []register.Change, away bool)
+	// Lost and Regained are called once for each outage.
+	Lost     func(reason error)
+	Regained func(outage time.Duration)
+	// Now returns the monotonic time.
+	Now func() time.Duration
+	// Wait is the longest wait for a change.
+	Wait time.Duration
+	// Collect is the pause after an answer that had changes.
+	Collect time.Duration
+	// Counters counts calls and retries by reason; it may be nil.
+	Counters *counter.Set
+}
+
+// Replica follows the state of one store.
+type Replica struct {
+	Config
+	tb       tomb.Tomb
+	revision uint64
+	synced   bool
+	away     bool          // the last call failed
+	awayFrom time.Duration // start of the current outage
+	awayTo   time.Duration // end of the last outage
+	wasAway  bool
+	failures int
+}
+
+// New starts to follow the store; the second result stops it.
+func New(c Config) (*Replica, func()) {
+	r := &Replica{Config: c}
+	ctx := r.tb.Context(context.Background())
+	r.tb.Go(func() error {
+		for r.tb.Alive() {
+			if pause := r.step(ctx); pause > 0 {
+				select {
+				case <-time.After(pause):
+				case <-r.tb.Dying():
+				}
+			}
+		}
+		return nil
+	})
+	return r, func() {
+		r.tb.Kill(nil)
+		_ = r.tb.Wait()
+	}
+}
+
+// step makes one reading or one waiting call and returns the pause before the next.
+func (r *Replica) step(ctx context.Context) time.Duration {
+	if !r.synced {
+		return r.read(ctx)
+	}
+	return r.watch(ctx)
+}
+
+func (r *Replica) read(ctx context.Context) time.Duration {
+	var changes []register.Change
+	var revision uint64
+	for position := ""; ; {
+		r.Counters.Add("store-reads", 1)
+		call, cancel := context.WithTimeout(ctx, readTimeout)
+		page, err := r.Read(call, position)
+		cancel()
+		if err != nil {
+			return r.failed(err)
+		}
+		// The pages are no snapshot. Changes since the first one come again with the first wait.
+		if position == "" {
+			revision = page.Revision
+		}
+		changes = append(changes, page.Changes...)
+		if position = page.Next; position == "" {
+			break
+		}
+	}
+	r.succeeded()
+	r.Replace(changes, r.recentlyAway())
+	r.revision, r.synced = revision, true
+	return 0
+}
+
+func (r *Replica) watch(ctx context.Context) time.Duration {
+	r.Counters.Add("store-watches", 1)
+	call, cancel := context.WithTimeout(ctx, r.Wait+watchMargin)
+	defer cancel()
+	page, err := r.Watch(call, r.revision, r.Wait)
+	if errors.Is(err, ErrForgotten) {
+		r.Counters.Add("store-retry-forgotten", 1)
+		r.synced = false
+		return 0
+	}
+	if err != nil {
+		return r.failed(err)
+	}
+	r.succeeded()
+	r.revision = max(r.revision, page.Revision)
+	if len(page.Changes) == 0 {
+		return 0
+	}
+	r.Apply(page.Changes, r.recentlyAway())
+	return r.Collect
+}
+
+func (r *Replica) failed(err error) time.Duration {
+	reason := "unreachable"
+	switch {
+	case errors.Is(err, ErrRefused):
+		reason = "refused"
+	case errors.Is(err, context.DeadlineExceeded):
+		reason = "timeout"
+	}
+	r.Counters.Add("store-retry-"+reason, 1)
+	if !r.away {
+		r.away, r.wasAway, r.awayFrom = true, true, r.Now()
+		r.Lost(err)
+	}
+	r.failures++
+	delay := min(lastDelay, firstDelay<<min(r.failures-1, 8))
+	return delay/2 + rand.N(delay/2)
+}
+
+func (r *Replica) succeeded() {
+	r.failures = 0
+	if !r.away {
+		return
+	}
+	r.away, r.awayTo = false, r.Now()
+	r.Regained(r.awayTo - r.awayFrom)
+}
+
+func (r *Replica) recentlyAway() bool {
+	return r.away || r.wasAway && r.Now()-r.awayTo < recentAway
+}
--- a/internal/standin/sizing/reads_test.go
+++ b/internal/standin/sizing/reads_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/masticspar/masticspar/internal/platform"
+	"github.com/masticspar/masticspar/internal/publication"
 )
 
 // reads are the times at which a fleet reads the platform, from the intervals of a Watcher alone. The platform answers
@@ -37,7 +37,7 @@
 			continue
 		}
 		at += r.wait(pause)
-		pause = min(2*pause, platform.DefaultMaxPause)
+		pause = min(2*pause, publication.DefaultMaxPause)
 	}
 }
 
@@ -66,19 +66,19 @@
 func BenchmarkPlatformReads(*testing.B) {
 	list := Table{Title: "The platform's list of VMs", Size: "VMs", Columns: []string{"list-B", "received-B/s"}}
 	for _, size := range []int{8, 64, 167, 500} {
-		vms := make([]platform.VM, size)
+		vms := make([]publication.VM, size)
 		for i := range vms {
 			at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
-			vms[i] = platform.VM{
+			vms[i] = publication.VM{
 				Name: fmt.Sprintf("entry-%04d", i), ControlAddress: at.String(), AvailabilityZone: zoneName(i % zonesOfTarget),
 				State: "live",
 			}
 		}
 		n := float64(len(encode(vms)))
-		list.Add(float64(size), n, n/platform.DefaultListPeriod.Seconds())
+		list.Add(float64(size), n, n/publication.DefaultListPeriod.Seconds())
 	}
 	show(&list)
-	for _, minPause := range []time.Duration{platform.DefaultMinPause, time.Second} {
+	for _, minPause := range []time.Duration{publication.DefaultMinPause, time.Second} {
 		t := Table{
 			Title: fmt.Sprintf("Reads a second over all daemons, first pause %v", minPause), Size: "VMs",
 			Columns: []string{"quiet-mean", "quiet-most", "publication-most", "outage-first-most", "outage-mean", "return-most"},
@@ -89,9 +89,9 @@
 				random: rand.New(rand.NewPCG(1, 1)),
 			}
 			for range size {
-				r.reader(platform.DefaultWait, 900*time.Second, true, true)
-				r.reader(platform.DefaultWait, 900*time.Second, true, false)
-				r.reader(platform.DefaultListPeriod, 900*time.Second, false, false)
+				r.reader(publication.DefaultWait, 900*time.Second, true, true)
+				r.reader(publication.DefaultWait, 900*time.Second, true, false)
+				r.reader(publication.DefaultListPeriod, 900*time.Second, false, false)
 			}
 			slices.Sort(r.times)
 			quietMost, quietMean := r.most(40*time.Second, 100*time.Second)
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gopkg.in/tomb.v2"
 )
 
@@ -42,8 +43,7 @@
 
 // New returns a service that ticks every interval from its own goroutine, and the function that stops it.
 func New(interval time.Duration) (*Service, func()) {
-	start := time.Now()
-	s := &Service{Source: func() time.Duration { return time.Since(start) }}
+	s := &Service{Source: sinceBoot()}
 	var tb tomb.Tomb
 	tb.Go(func() error {
 		ticker := time.NewTicker(interval)
@@ -63,6 +63,23 @@
 	}
 }
 
+// sinceBoot returns a clock that starts at zero. It goes on while the machine is suspended, so that a suspension is seen
+// as a pause.
+func sinceBoot() func() time.Duration {
+	var start unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &start); err != nil {
+		monotonic := time.Now()
+		return func() time.Duration { return time.Since(monotonic) }
+	}
+	return func() time.Duration {
+		var now unix.Timespec
+		if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+			panic(err) // The same call has worked before.
+		}
+		return time.Duration(now.Nano() - start.Nano())
+	}
+}
+
 // Now returns the time since the service started.
 func (s *Service) Now() time.Duration {
 	if s.Source != nil {
--- /dev/null
+++ b/internal/track/table.go
@@ -0,0 +1,217 @@
+package track
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/signal"
+)
+
+const (
+	// DefaultCapacity bounds the number of flows; a flow takes about 120 bytes.
+	DefaultCapacity = 200_000
+	// answerBound is how long an unanswered request counts as outstanding. Callers resend at least once in it, so a
+	// flow that is silent for longer was answered in a way that does not show or goes through another entry VM.
+	answerBound = 1200 * time.Millisecond
+	// handshakeBound is how long callers try to open a flow.
+	handshakeBound = 1500 * time.Millisecond
+	// idleBound is how long a flow without packets is kept; its token is in its next packet in any case.
+	idleBound = 20 * time.Second
+)
+
+// Key names a flow.
+type Key struct {
+	// Caller and Service are the two ends as addresses and ports.
+	Caller, Service netip.AddrPort
+}
+
+// Packet is what a packet of a caller says.
+type Packet struct {
+	Key
+	// Token is what the backend server sent last on the flow; 0 before that.
+	Token uint32
+	// Sequence is the number of the first byte, and Acknowledged the number of the next byte that the caller expects.
+	Sequence, Acknowledged uint32
+	// Length is the number of data bytes.
+	Length int
+	// SYN, ACK, FIN and RST are the flags as in TCP.
+	SYN, ACK, FIN, RST bool
+}
+
+// Flow is what is known of one flow.
+type Flow struct {
+	// Host is the token of its backend server.
+	Host uint32
+	// Tried are the hosts that got the SYN before Host and did not answer.
+	Tried []uint32
+	// Sent is when the last SYN was forwarded.
+	Sent time.Duration
+	// Open says that a packet followed the handshake.
+	Open bool
+
+	seen         time.Duration
+	asked        time.Duration // arrival of the last new data of the request
+	sent         time.Duration // arrival of the last packet with data
+	next         uint32        // number after the last data byte
+	acknowledged uint32
+	outstanding  bool
+	closed       bool
+}
+
+// Table keeps the flows whose packets reach this entry VM; the zero value is ready for use.
+type Table struct {
+	// Capacity bounds the number of flows; zero selects DefaultCapacity.
+	Capacity int
+	// Observe takes each event; Event.Host is a token.
+	Observe func(now time.Duration, e signal.Event)
+
+	flows map[Key]*Flow
+}
+
+// Len returns the number of flows.
+func (t *Table) Len() int { return len(t.flows) }
+
+// Get returns the flow or nil.
+func (t *Table) Get(k Key) *Flow { return t.flows[k] }
+
+// Open notes that the SYN of a flow was forwarded to a host. It returns nil when the table is full.
+func (t *Table) Open(now time.Duration, k Key, host uint32) *Flow {
+	f := t.flows[k]
+	if f == nil {
+		if f = t.add(k); f == nil {
+			return nil
+		}
+	} else if f.Host != host {
+		t.event(now, signal.Unanswered, f.Host, now-f.Sent)
+		t.event(now, signal.Closed, f.Host, 0)
+		f.Tried = append(f.Tried, f.Host)
+	} else {
+		f.seen, f.Sent = now, now
+		return f
+	}
+	f.Host, f.Sent, f.seen = host, now, now
+	t.event(now, signal.Opened, host, 0)
+	return f
+}
+
+// Packet notes a packet after the SYN of a flow that goes to host, and reports whether it was seen before.
+func (t *Table) Packet(now time.Duration, p *Packet, host uint32) (repeated bool) {
+	f := t.flows[p.Key]
+	if f == nil {
+		if f = t.add(p.Key); f == nil {
+			return false
+		}
+		f.Host = host
+		f.next, f.acknowledged = p.Sequence, p.Acknowledged
+		t.event(now, signal.Opened, host, 0)
+	} else if f.Host != host { // A host that was tried earlier answered after all.
+		t.end(now, f)
+		f.Host, f.closed, f.Open = host, false, false
+		t.event(now, signal.Opened, host, 0)
+	}
+	f.seen = now
+	if !f.Open {
+		if f.Sent > 0 {
+			t.event(now, signal.Accepted, host, now-f.Sent)
+		}
+		f.Open, f.next, f.acknowledged = true, p.Sequence, p.Acknowledged
+	}
+	repeated = t.data(now, f, p)
+	if (p.FIN || p.RST) && !f.closed {
+		t.end(now, f)
+	}
+	return repeated
+}
+
+func (t *Table) data(now time.Duration, f *Flow, p *Packet) (repeated bool) {
+	advanced := p.ACK && int32(p.Acknowledged-f.acknowledged) > 0
+	if advanced {
+		f.acknowledged = p.Acknowledged
+	}
+	end := p.Sequence + uint32(p.Length)
+	fresh := p.Length > 0 && int32(end-f.next) > 0
+	if advanced && f.outstanding {
+		f.outstanding = false
+		elapsed := now - f.asked
+		if fresh { // The acknowledgement waited for the next request.
+			elapsed = 0
+		}
+		t.event(now, signal.Answered, f.Host, elapsed)
+	}
+	switch {
+	case fresh:
+		f.next, f.asked, f.sent = end, now, now
+		if !f.outstanding && !f.closed {
+			f.outstanding = true
+			t.event(now, signal.Requested, f.Host, 0)
+		}
+	case p.Length > 0:
+		t.event(now, signal.Repeated, f.Host, now-f.sent)
+		f.sent = now
+		return true
+	}
+	return false
+}
+
+// Forget drops a flow, such as one that was reset.
+func (t *Table) Forget(now time.Duration, k Key) {
+	if f := t.flows[k]; f != nil {
+		t.end(now, f)
+		delete(t.flows, k)
+	}
+}
+
+// Sweep ends requests and flows that were silent for too long.
+func (t *Table) Sweep(now time.Duration) {
+	for k, f := range t.flows {
+		if f.outstanding && now-f.seen >= answerBound {
+			f.outstanding = false
+			t.event(now, signal.Abandoned, f.Host, now-f.asked)
+		}
+		bound := idleBound
+		if !f.Open || f.closed {
+			bound = handshakeBound
+		}
+		if now-f.seen >= bound {
+			if !f.Open && len(f.Tried) > 0 { // Without a copy the flow may go on through another entry VM.
+				t.event(now, signal.Unanswered, f.Host, now-f.Sent)
+			}
+			t.end(now, f)
+			delete(t.flows, k)
+		}
+	}
+}
+
+func (t *Table) add(k Key) *Flow {
+	bound := t.Capacity
+	if bound == 0 {
+		bound = DefaultCapacity
+	}
+	if len(t.flows) >= bound {
+		return nil
+	}
+	if t.flows == nil {
+		t.flows = map[Key]*Flow{}
+	}
+	f := &Flow{}
+	t.flows[k] = f
+	return f
+}
+
+func (t *Table) end(now time.Duration, f *Flow) {
+	if f.closed {
+		return
+	}
+	f.closed = true
+	if f.outstanding {
+		f.outstanding = false
+		t.event(now, signal.Abandoned, f.Host, now-f.asked)
+	}
+	t.event(now, signal.Closed, f.Host, 0)
+}
+
+func (t *Table) event(now time.Duration, kind signal.Kind, host uint32, elapsed time.Duration) {
+	if t.Observe != nil {
+		t.Observe(now, signal.Event{Kind: kind, Host: host, Elapsed: elapsed})
+	}
+}
