Notice servers that refuse or answer nothing

A server whose process ended refuses a SYN at once, and an entry VM does not see the reset; such a server had no work and got the most new flows. Handshakes that are under way count as work now, one that takes too long makes the server suspected, a caller's next try avoids the servers of its former ones, and silent servers of one availability zone make the zone unreachable. Data that was merely overtaken no longer counts as sent again. Ruled out: lost reads of the store, as the entries were still listed.

--- a/cmd/masticspard/direct.go
+++ b/cmd/masticspard/direct.go
@@ -87,7 +87,7 @@
 func (d *directDaemon) configureEngine() {
 	e := &d.engine
 	e.Placement = placement.Model{
-		AvailabilityZone: d.settings.AvailabilityZone, Away: 25 * time.Millisecond, Hash: d.settings.Placement == "hash",
+		AvailabilityZone: d.settings.AvailabilityZone, Hash: d.settings.Placement == "hash",
 		Silent: d.logSilent,
 	}
 	e.Register.Changed = d.logHost
--- a/internal/direct/engine.go
+++ b/internal/direct/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,6 +19,10 @@
 	// copyDelay is how long after its SYN a flow stays with its server. Callers send copies after 200 ms; an earlier
 	// one means that packets waited here.
 	copyDelay = 150 * time.Millisecond
+	// attemptMemory is how long a caller's new flow avoids the servers of its former tries.
+	attemptMemory = time.Second
+	// maxAttempts bounds the tries that are kept for each caller.
+	maxAttempts = 8
 )
 
 // Action is what is to be done with a packet.
@@ -61,6 +66,8 @@
 	Placement placement.Model
 	// Flows observes the flows.
 	Flows track.Table
+
+	attempts map[netip.Addr][]attempt // by caller, oldest first
 }
 
 // Start connects the parts; it is called once.
@@ -104,7 +111,7 @@
 		return Verdict{Action: Reset, Reason: NoRoute}
 	}
 	hash := hashOf(p.Key)
-	var tried []uint32
+	tried := e.refused(now, p.Caller.Addr())
 	f := e.Flows.Get(p.Key)
 	if f != nil {
 		if f.Open {
@@ -117,18 +124,59 @@
 		}
 		tried = append(append(tried, f.Tried...), f.Host)
 	}
-	l, reason := e.Placement.Pick(now, e.Register.Hosts(service(r, hash)), hash, tried)
+	l, reason := e.Placement.Pick(now, e.Register.Hosts(service(r, hash)), placement.Flow{Hash: hash, Goal: r.Goal, Tried: tried})
 	if l == nil {
 		return Verdict{Action: Reset, Reason: reason}
 	}
 	e.Flows.Open(now, p.Key, l.Token)
-	return Verdict{Action: Forward, Host: l, Again: len(tried) > 0}
+	e.remember(now, p, l.Token)
+	return Verdict{Action: Forward, Host: l, Again: f != nil}
+}
+
+// attempt is a SYN that a caller sent lately.
+type attempt struct {
+	key  track.Key
+	host uint32
+	at   time.Duration
+}
+
+// refused returns the servers that got a SYN of the caller lately and that it has not gone on with. A server whose
+// process ended refuses flows at once, and the caller tries again at once from a new port.
+func (e *Engine) refused(now time.Duration, caller netip.Addr) []uint32 {
+	var hosts []uint32
+	for _, a := range e.attempts[caller] {
+		if f := e.Flows.Get(a.key); now-a.at < attemptMemory && (f == nil || !f.Open) {
+			hosts = append(hosts, a.host)
+		}
+	}
+	return hosts
+}
+
+func (e *Engine) remember(now time.Duration, p *track.Packet, host uint32) {
+	if e.attempts == nil {
+		e.attempts = map[netip.Addr][]attempt{}
+	}
+	list := e.attempts[p.Caller.Addr()]
+	if len(list) == maxAttempts {
+		list = list[1:]
+	}
+	e.attempts[p.Caller.Addr()] = append(list, attempt{key: p.Key, host: host, at: now})
+}
+
+// forget drops attempts that say nothing any more.
+func (e *Engine) forget(now time.Duration) {
+	for caller, list := range e.attempts {
+		if now-list[len(list)-1].at >= attemptMemory {
+			delete(e.attempts, caller)
+		}
+	}
 }
 
 // Tick does what is due.
 func (e *Engine) Tick(now time.Duration) {
 	e.Register.Sweep(now)
 	e.Flows.Sweep(now)
+	e.forget(now)
 }
 
 // service returns the service of a flow. The same flow gets the same one at every entry VM.
--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/masticspar/masticspar/internal/register"
@@ -24,39 +25,57 @@
 	loadMemory = time.Second
 	// coldFactor is how much slower a server is taken to be right after its start.
 	coldFactor = 1.6
-	// suspectFactor raises the cost of a server for each packet that it did not answer.
-	suspectFactor = 4
+	// lateFactor and lateMargin tell a handshake that takes too long from the average of all.
+	lateFactor = 4
+	lateMargin = 20 * time.Millisecond
 	// deadRepeats and deadSilence are the evidence that a server is dead: packets that came again, and the time since
 	// the last sign of life. Callers resend after 200 ms, so a live server answers several times within it.
-	deadRepeats = 4
-	deadSilence = 450 * time.Millisecond
+	deadRepeats = 3
+	deadSilence = 400 * time.Millisecond
+	// repeatMemory is the time after which a packet that came again says nothing any more.
+	repeatMemory = 2 * time.Second
 	// aliveWithin is how recently another server must have answered, because all are silent when the own link is cut.
-	aliveWithin = 200 * time.Millisecond
+	aliveWithin = 250 * time.Millisecond
+	// cutHosts is the number of silent servers of an availability zone that make all of it unreachable.
+	cutHosts = 2
 	// trialPeriod is the time between two flows to a server that is silent.
 	trialPeriod = time.Second
 	// spread is the part of the cost that differs at random between flows, so that entry VMs do not all choose alike.
 	spread = 0.1
+	// awayShare is the part of the response-time goal that callers must gain in another availability zone.
+	awayShare = 0.4
+	// minAway bounds it from below: the way there and back takes several milliseconds.
+	minAway = 10 * time.Millisecond
 )
 
 // Model holds what the packets told about each lifetime; the zero value is ready for use.
 type Model struct {
 	// AvailabilityZone is the zone of this entry VM.
 	AvailabilityZone string
-	// Away is the additional cost of a server in another availability zone.
-	Away time.Duration
 	// Hash chooses by the hash of the flow alone, as a baseline for measurements.
 	Hash bool
 	// Silent is called when a server becomes suspected or answers again; it may be nil.
 	Silent func(now time.Duration, token uint32, silent bool)
 
-	loads   map[uint32]*load
-	average time.Duration // answer time of all servers
-	alive   time.Duration // last answer of any server
-	second  time.Duration // last answer of a server other than the one of alive
-	last    uint32        // server of alive
+	loads     map[uint32]*load
+	zones     map[string]*zone
+	average   time.Duration // answer time of all servers
+	handshake time.Duration // time of a handshake
+}
+
+// Flow is what a choice depends on besides the servers.
+type Flow struct {
+	// Hash is the hash of the flow.
+	Hash uint64
+	// Goal is the response time that callers of the route expect.
+	Goal time.Duration
+	// Tried are servers that have not answered the caller lately.
+	Tried []uint32
 }
 
 type load struct {
+	zone        *zone
+	pending     []time.Duration // starts of handshakes
 	outstanding int
 	open        int
 	mean        float64 // outstanding requests, averaged over loadMemory
@@ -65,10 +84,17 @@
 	answered    time.Duration // time of the last answer
 	alive       time.Duration // time of the last sign of life
 	repeats     int           // packets that came again since then
-	flows       int           // SYNs among them
+	repeated    time.Duration // time of the last of them
+	refusals    int           // handshakes that were refused since then
 	trial       time.Duration // time of the last trial flow
 }
 
+// zone is what is known of an availability zone.
+type zone struct {
+	alive time.Duration // last sign of life of any server in it
+	trial time.Duration // last trial flow to any server in it
+}
+
 // Observe adds what a packet told about a server.
 func (m *Model) Observe(now time.Duration, e signal.Event) {
 	l := m.load(now, e.Host)
@@ -76,12 +102,20 @@
 	switch e.Kind {
 	case signal.Opened:
 		l.open++
+		l.pending = append(l.pending, now)
+	case signal.Joined:
+		l.open++
 	case signal.Closed:
 		l.open = max(0, l.open-1)
 	case signal.Requested:
 		l.outstanding++
 	case signal.Accepted:
+		l.settle(now - e.Elapsed)
 		m.sign(now, e.Host, l)
+		if m.handshake == 0 {
+			m.handshake = e.Elapsed
+		}
+		m.handshake += (e.Elapsed - m.handshake) / answerSamples
 	case signal.Answered:
 		l.outstanding = max(0, l.outstanding-1)
 		m.sign(now, e.Host, l)
@@ -90,62 +124,113 @@
 		}
 	case signal.Abandoned:
 		l.outstanding = max(0, l.outstanding-1)
-	case signal.Unanswered, signal.Repeated:
-		if now-e.Elapsed < l.alive { // It answered something since the packet was first sent.
-			return
-		}
-		l.repeats++
-		if e.Kind == signal.Unanswered {
-			l.flows++
-		}
-		if l.repeats == 1 && m.Silent != nil {
-			m.Silent(now, e.Host, true)
-		}
+	case signal.Refused:
+		l.settle(now - e.Elapsed)
+		m.missed(now, e, l, &l.refusals)
+	case signal.Unanswered:
+		l.settle(now - e.Elapsed)
+		m.missed(now, e, l, &l.repeats)
+	case signal.Repeated:
+		m.missed(now, e, l, &l.repeats)
+	}
+}
+
+// missed counts a packet that a server did not answer.
+func (m *Model) missed(now time.Duration, e signal.Event, l *load, count *int) {
+	if now-e.Elapsed < l.alive { // It answered something since the packet was first sent.
+		return
+	}
+	if now-l.repeated > repeatMemory {
+		l.repeats = 0
+	}
+	before := l.repeats + l.refusals
+	*count++
+	l.repeated = now
+	if before == 0 && m.Silent != nil {
+		m.Silent(now, e.Host, true)
 	}
 }
 
 // Forget drops a lifetime that is gone.
 func (m *Model) Forget(token uint32) { delete(m.loads, token) }
 
-// Pick returns the server for a new flow, or nil with the reason why there is none. Tried servers have not answered
-// the SYN of this flow. Hash is the hash of the flow.
-func (m *Model) Pick(now time.Duration, hosts []*register.Lifetime, hash uint64, tried []uint32) (*register.Lifetime, string) {
+// Pick returns the server for a new flow, or nil with the reason why there is none.
+func (m *Model) Pick(now time.Duration, hosts []*register.Lifetime, f Flow) (*register.Lifetime, string) {
+	cut := m.cut(now, hosts)
 	var best *register.Lifetime
-	var bestLoad *load
 	lowest := math.Inf(1)
 	for _, h := range hosts {
-		if contains(tried, h.Token) {
-			continue
-		}
 		l := m.load(now, h.Token)
-		cost := m.cost(now, h, l, mix(hash, h.Token))
+		if l.zone == nil {
+			l.zone = m.zone(h.AvailabilityZone)
+		}
+		cost := m.cost(now, h, l, f)
+		if cut[h.AvailabilityZone] && now-l.zone.trial < trialPeriod {
+			cost += unusable
+		}
+		if slices.Contains(f.Tried, h.Token) {
+			cost += unusable
+		}
 		if cost < lowest {
-			best, bestLoad, lowest = h, l, cost
+			best, lowest = h, cost
 		}
 	}
 	if best == nil {
-		if len(hosts) > 0 { // All were tried; one of them may have lost the packet.
-			return m.Pick(now, hosts, hash, nil)
-		}
 		return nil, NoHost
 	}
-	if bestLoad.repeats > 0 {
-		bestLoad.trial = now
+	if l := m.loads[best.Token]; l.suspected() {
+		l.trial, l.zone.trial = now, now
 	}
 	return best, ""
 }
 
+// cut returns the availability zones in which several servers are silent while others answer.
+func (m *Model) cut(now time.Duration, hosts []*register.Lifetime) map[string]bool {
+	var silent map[string]int
+	for _, h := range hosts {
+		l := m.loads[h.Token]
+		if l == nil || l.zone == nil || l.repeats == 0 || l.repeated < l.zone.alive {
+			continue
+		}
+		if silent == nil {
+			silent = map[string]int{}
+		}
+		silent[h.AvailabilityZone]++
+	}
+	var cut map[string]bool
+	for name, n := range silent {
+		if n >= cutHosts && m.answersElsewhere(now, name) {
+			if cut == nil {
+				cut = map[string]bool{}
+			}
+			cut[name] = true
+		}
+	}
+	return cut
+}
+
+// answersElsewhere reports whether a server outside of the availability zone answered just now.
+func (m *Model) answersElsewhere(now time.Duration, name string) bool {
+	for other, z := range m.zones {
+		if other != name && now-z.alive < aliveWithin {
+			return true
+		}
+	}
+	return false
+}
+
 // Dead reports whether a server is silent for so long, while others answer, that its flows are lost.
 func (m *Model) Dead(now time.Duration, token uint32) bool {
 	l := m.loads[token]
-	if l == nil || l.repeats < deadRepeats || now-l.alive < deadSilence {
+	if l == nil || l.repeats < deadRepeats || now-l.alive < deadSilence || now-l.repeated > repeatMemory {
 		return false
 	}
-	other := m.alive
-	if m.last == token {
-		other = m.second
+	for other, o := range m.loads {
+		if other != token && o.alive > 0 && now-o.alive < aliveWithin {
+			return true
+		}
 	}
-	return now-other < aliveWithin
+	return false
 }
 
 // Load is what is known of one server, for logs and status.
@@ -166,7 +251,7 @@
 	if l == nil {
 		return Load{}
 	}
-	return Load{Outstanding: l.outstanding, Open: l.open, Answer: l.answer, Repeats: l.repeats, Silence: now - l.alive}
+	return Load{Outstanding: l.outstanding, Open: l.open, Answer: l.answer, Repeats: l.repeats + l.refusals, Silence: now - l.alive}
 }
 
 func (m *Model) load(now time.Duration, token uint32) *load {
@@ -182,14 +267,37 @@
 }
 
 func (m *Model) sign(now time.Duration, token uint32, l *load) {
-	if l.repeats > 0 && m.Silent != nil {
+	if l.suspected() && m.Silent != nil {
 		m.Silent(now, token, false)
 	}
-	l.alive, l.repeats, l.flows = now, 0, 0
-	if m.last != token {
-		m.second, m.last = m.alive, token
+	l.alive, l.repeats, l.refusals = now, 0, 0
+	if l.zone != nil {
+		l.zone.alive = now
+	}
+}
+
+func (m *Model) zone(name string) *zone {
+	if m.zones == nil {
+		m.zones = map[string]*zone{}
+	}
+	if m.zones[name] == nil {
+		m.zones[name] = &zone{}
 	}
-	m.alive = now
+	return m.zones[name]
+}
+
+func (l *load) suspected() bool { return l.repeats+l.refusals > 0 }
+
+// settle ends the handshake that started at the given time.
+func (l *load) settle(started time.Duration) {
+	if i := slices.Index(l.pending, started); i >= 0 {
+		l.pending = slices.Delete(l.pending, i, i+1)
+	}
+}
+
+// late reports whether a handshake takes so long that the server may have refused it.
+func (m *Model) late(now time.Duration, l *load) bool {
+	return len(l.pending) > 0 && l.alive < l.pending[0] && now-l.pending[0] > lateFactor*m.handshake+lateMargin
 }
 
 func (m *Model) sample(now time.Duration, l *load, elapsed time.Duration) {
@@ -216,7 +324,11 @@
 	return average + time.Duration(old*float64(l.answer-average))
 }
 
-func (m *Model) cost(now time.Duration, h *register.Lifetime, l *load, random float64) float64 {
+// unusable is the cost of a server that gets a flow only when there is no other.
+const unusable = float64(time.Hour)
+
+func (m *Model) cost(now time.Duration, h *register.Lifetime, l *load, f Flow) float64 {
+	random := mix(f.Hash, h.Token)
 	if m.Hash {
 		if h.AvailabilityZone != m.AvailabilityZone {
 			return 1 + random
@@ -228,16 +340,13 @@
 	if now < h.ColdUntil {
 		cost *= coldFactor
 	}
-	cost *= 1 + float64(l.outstanding) + l.mean
+	cost *= 1 + float64(l.outstanding) + float64(len(l.pending)) + l.mean
 	cost *= 1 + spread*random
 	if h.AvailabilityZone != m.AvailabilityZone {
-		cost += float64(m.Away)
+		cost += max(awayShare*float64(f.Goal), float64(minAway))
 	}
-	if l.repeats > 0 {
-		if l.trial == 0 || now-l.trial < trialPeriod || l.repeats > 1 && now-l.alive < trialPeriod {
-			cost += float64(time.Minute)
-		}
-		cost *= suspectFactor
+	if m.late(now, l) || l.suspected() && now-max(l.trial, l.repeated) < trialPeriod {
+		cost += unusable
 	}
 	return cost
 }
@@ -249,15 +358,6 @@
 	l.changed = now
 }
 
-func contains(list []uint32, token uint32) bool {
-	for _, t := range list {
-		if t == token {
-			return true
-		}
-	}
-	return false
-}
-
 // mix returns a number between 0 and 1 from the hash of a flow and a token.
 func mix(hash uint64, token uint32) float64 {
 	x := (hash ^ uint64(token)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
--- a/internal/signal/event.go
+++ b/internal/signal/event.go
@@ -17,6 +17,7 @@
 	Answered                   // the first payload after Requested came back; Elapsed is the first-answer time
 	Abandoned                  // the flow ended or was reset with a request outstanding
 	Closed                     // the flow no longer counts as open on the host
+	Joined                     // the flow came from another entry VM, after its handshake
 	Repeated                   // the caller sent data again; Elapsed is the time since it sent it last
 )
 
--- a/internal/track/table.go
+++ b/internal/track/table.go
@@ -13,6 +13,11 @@
 	// answerBound is how long an unanswered request counts as outstanding. Callers resend at least once in it, so a
 	// flow that is silent for longer was answered in a way that does not show or goes through another entry VM.
 	answerBound = 1200 * time.Millisecond
+	// repeatBound is the time after which data that comes again was sent again; callers wait 200 ms.
+	repeatBound = 150 * time.Millisecond
+	// refusedBound is the time after which a SYN without a copy was refused by the server; callers send the first copy
+	// after 200 ms.
+	refusedBound = 300 * time.Millisecond
 	// handshakeBound is how long callers try to open a flow.
 	handshakeBound = 1500 * time.Millisecond
 	// idleBound is how long a flow without packets is kept; its token is in its next packet in any case.
@@ -49,6 +54,7 @@
 	// Open says that a packet followed the handshake.
 	Open bool
 
+	opened       time.Duration // when the first SYN went to Host
 	seen         time.Duration
 	asked        time.Duration // arrival of the last new data of the request
 	sent         time.Duration // arrival of the last packet with data
@@ -82,14 +88,14 @@
 			return nil
 		}
 	} else if f.Host != host {
-		t.event(now, signal.Unanswered, f.Host, now-f.Sent)
+		t.event(now, signal.Unanswered, f.Host, now-f.opened)
 		t.event(now, signal.Closed, f.Host, 0)
 		f.Tried = append(f.Tried, f.Host)
 	} else {
 		f.seen, f.Sent = now, now
 		return f
 	}
-	f.Host, f.Sent, f.seen = host, now, now
+	f.Host, f.opened, f.Sent, f.seen = host, now, now, now
 	t.event(now, signal.Opened, host, 0)
 	return f
 }
@@ -101,19 +107,14 @@
 		if f = t.add(p.Key); f == nil {
 			return false
 		}
-		f.Host = host
-		f.next, f.acknowledged = p.Sequence, p.Acknowledged
-		t.event(now, signal.Opened, host, 0)
+		t.join(now, f, p, host)
 	} else if f.Host != host { // A host that was tried earlier answered after all.
 		t.end(now, f)
-		f.Host, f.closed, f.Open = host, false, false
-		t.event(now, signal.Opened, host, 0)
+		t.join(now, f, p, host)
 	}
 	f.seen = now
 	if !f.Open {
-		if f.Sent > 0 {
-			t.event(now, signal.Accepted, host, now-f.Sent)
-		}
+		t.event(now, signal.Accepted, host, now-f.opened)
 		f.Open, f.next, f.acknowledged = true, p.Sequence, p.Acknowledged
 	}
 	repeated = t.data(now, f, p)
@@ -123,6 +124,13 @@
 	return repeated
 }
 
+// join starts to follow a flow whose handshake was not seen.
+func (t *Table) join(now time.Duration, f *Flow, p *Packet, host uint32) {
+	f.Host, f.closed, f.Open = host, false, true
+	f.next, f.acknowledged = p.Sequence, p.Acknowledged
+	t.event(now, signal.Joined, host, 0)
+}
+
 func (t *Table) data(now time.Duration, f *Flow, p *Packet) (repeated bool) {
 	advanced := p.ACK && int32(p.Acknowledged-f.acknowledged) > 0
 	if advanced {
@@ -145,7 +153,7 @@
 			f.outstanding = true
 			t.event(now, signal.Requested, f.Host, 0)
 		}
-	case p.Length > 0:
+	case p.Length > 0 && now-f.sent >= repeatBound: // Earlier ones were only overtaken.
 		t.event(now, signal.Repeated, f.Host, now-f.sent)
 		f.sent = now
 		return true
@@ -153,6 +161,15 @@
 	return false
 }
 
+// Stalled calls f for each flow to host with a request outstanding, with the number that its caller expects next.
+func (t *Table) Stalled(host uint32, f func(k Key, acknowledged uint32)) {
+	for k, flow := range t.flows {
+		if flow.Host == host && flow.outstanding && !flow.closed {
+			f(k, flow.acknowledged)
+		}
+	}
+}
+
 // Forget drops a flow, such as one that was reset.
 func (t *Table) Forget(now time.Duration, k Key) {
 	if f := t.flows[k]; f != nil {
@@ -168,20 +185,24 @@
 			f.outstanding = false
 			t.event(now, signal.Abandoned, f.Host, now-f.asked)
 		}
-		bound := idleBound
-		if !f.Open || f.closed {
-			bound = handshakeBound
-		}
-		if now-f.seen >= bound {
-			if !f.Open && len(f.Tried) > 0 { // Without a copy the flow may go on through another entry VM.
-				t.event(now, signal.Unanswered, f.Host, now-f.Sent)
-			}
+		if now-f.seen >= f.bound() {
 			t.end(now, f)
 			delete(t.flows, k)
 		}
 	}
 }
 
+// bound returns how long the flow is kept without packets.
+func (f *Flow) bound() time.Duration {
+	switch {
+	case f.Open && !f.closed:
+		return idleBound
+	case f.Open || len(f.Tried) > 0:
+		return handshakeBound
+	}
+	return refusedBound
+}
+
 func (t *Table) add(k Key) *Flow {
 	bound := t.Capacity
 	if bound == 0 {
@@ -203,6 +224,13 @@
 		return
 	}
 	f.closed = true
+	if !f.Open {
+		kind := signal.Refused
+		if len(f.Tried) > 0 || f.Sent > f.opened {
+			kind = signal.Unanswered
+		}
+		t.event(now, kind, f.Host, now-f.opened)
+	}
 	if f.outstanding {
 		f.outstanding = false
 		t.event(now, signal.Abandoned, f.Host, now-f.asked)
