--- a/cmd/masticspard/direct.go
+++ b/cmd/masticspard/direct.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
 
 	"github.com/masticspar/masticspar/internal/counter"
 	"github.com/masticspar/masticspar/internal/direct"
@@ -26,8 +27,11 @@
 )
 
 const (
-	// collectTime is the pause in which changes of the store are collected; every call to the store has a price.
-	collectTime = 300 * time.Millisecond
+	// collectShare is the part of the shortest bound of the site in which changes of the store are collected, because
+	// every call to the store has a price.
+	collectShare = 0.25
+	// reloadPeriod is the time between two looks at the settings file, which may change without a signal.
+	reloadPeriod = 5 * time.Second
 	// wakeTime is how long SYNs are dropped after a pause: they waited while the process stood still, and callers may
 	// have opened the flow elsewhere.
 	wakeTime = 100 * time.Millisecond
@@ -56,6 +60,8 @@
 	socket *fabric.Socket
 	out    []byte
 	awake  time.Duration // end of the time after a pause in which SYNs are dropped
+
+	stopTimeout time.Duration
 }
 
 // newDirectDaemon starts everything and returns the function that stops it in the reverse order.
@@ -87,12 +93,13 @@
 func (d *directDaemon) configureEngine() {
 	e := &d.engine
 	e.Placement = placement.Model{
-		AvailabilityZone: d.settings.AvailabilityZone, Hash: d.settings.Placement == "hash",
+		AvailabilityZone: d.settings.AvailabilityZone, Hash: d.settings.Placement == directsettings.PlacementHash,
 		Silent: d.logSilent,
 	}
 	e.Register.Changed = d.logHost
 	e.Register.Retention = time.Duration(d.settings.FlowLifetime) + time.Duration(d.settings.SettleTime)
 	e.Start()
+	d.stopTimeout = time.Duration(d.settings.StopTimeout)
 }
 
 func (d *directDaemon) startTimer() (func(), error) {
@@ -178,7 +185,7 @@
 	_, stop := replica.New(replica.Config{
 		Read: client.Read, Watch: client.Watch, Now: d.timer.Now,
 		Wait:    min(time.Duration(d.settings.SettleTime)-time.Second, bound),
-		Collect: min(collectTime, bound/10),
+		Collect: time.Duration(collectShare * float64(bound)),
 		Replace: func(changes []register.Change, away bool) { d.learn(changes, away, true) },
 		Apply:   func(changes []register.Change, away bool) { d.learn(changes, away, false) },
 		Lost: func(reason error) {
@@ -265,11 +272,73 @@
 	return d.counters.WriteText(w)
 }
 
+// reloadOn reads the settings file again after each signal and from time to time.
+func (d *directDaemon) reloadOn(signals <-chan os.Signal, file string) func() {
+	var tb tomb.Tomb
+	modified := modifiedAt(file)
+	tb.Go(func() error {
+		ticker := time.NewTicker(reloadPeriod)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-tb.Dying():
+				return nil
+			case <-signals:
+				d.reload(file, "signal")
+			case <-ticker.C:
+				if modifiedAt(file).Equal(modified) {
+					continue
+				}
+				d.reload(file, "file")
+			}
+			modified = modifiedAt(file)
+		}
+	})
+	return func() {
+		tb.Kill(nil)
+		_ = tb.Wait()
+	}
+}
+
+func modifiedAt(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{} // The next reload tells why.
+	}
+	return info.ModTime()
+}
+
+// reload puts the settings in force that can change while the process runs. Wrong ones leave the former in force.
+func (d *directDaemon) reload(file, cause string) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		d.counters.Add("reload-refused", 1)
+		d.log.Error("reload-refused", zap.String("cause", cause), zap.Error(err))
+		return
+	}
+	s, err := directsettings.Decode(file, b)
+	if err != nil {
+		d.counters.Add("reload-refused", 1)
+		d.log.Error("reload-refused", zap.String("cause", cause), zap.Error(err))
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.engine.Register.Retention = time.Duration(s.FlowLifetime) + time.Duration(s.SettleTime)
+	d.engine.Placement.Hash = s.Placement == directsettings.PlacementHash
+	d.stopTimeout = time.Duration(s.StopTimeout)
+	d.counters.Add("reload-accepted", 1)
+	d.log.Info("reloaded", zap.String("cause", cause), zap.Duration("stop-timeout", d.stopTimeout),
+		zap.Duration("flow-lifetime", time.Duration(s.FlowLifetime)), zap.String("placement", s.Placement))
+}
+
 // drain takes the entry VM out of rotation and returns when the routers send nothing more or the time is up.
 func (d *directDaemon) drain(signals <-chan os.Signal) error {
 	d.stopping.Store(true)
 	started := d.timer.Now()
-	limit := max(time.Duration(d.settings.StopTimeout)-stopMargin, leaveTime)
+	d.mu.Lock()
+	limit := max(d.stopTimeout-stopMargin, leaveTime)
+	d.mu.Unlock()
 	done := make(chan struct{})
 	var once sync.Once
 	cancel := d.timer.Subscribe(direct.TickPeriod, func(now time.Duration) {
--- a/cmd/masticspard/main.go
+++ b/cmd/masticspard/main.go
@@ -115,12 +115,15 @@
 	out, closeLog := stream.New(os.Stdout, 0)
 	defer closeLog()
 	log := newLogger(out).With(zap.String("name", s.Name))
-	signals := make(chan os.Signal, 2)
+	signals, reloads := make(chan os.Signal, 2), make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	signal.Notify(reloads, syscall.SIGHUP)
 	d, stop, err := newDirectDaemon(s, log)
 	if err != nil {
 		return errors.Trace(err)
 	}
+	cancelReload := d.reloadOn(reloads, file)
+	defer cancelReload()
 	v := <-signals
 	log.Info("signal-received", zap.Stringer("signal", v))
 	if err := d.drain(signals); err != nil {
--- a/internal/direct/settings/settings.go
+++ b/internal/direct/settings/settings.go
@@ -10,6 +10,12 @@
 // Forwarding is the value of the field forwarding that selects this mode.
 const Forwarding = "token"
 
+// Values of the field placement. PlacementHash is the baseline of measurements.
+const (
+	PlacementAnswerTime = "answer-time"
+	PlacementHash       = "hash"
+)
+
 // Settings are the settings of one entry VM that forwards by token.
 type Settings struct {
 	// Forwarding selects the mode; it is "token".
@@ -55,7 +61,7 @@
 	s.StopTimeout = document.Duration(6 * time.Second)
 	s.FlowLifetime = document.Duration(time.Minute)
 	s.MemoryMB = 256
-	s.Placement = "answer-time"
+	s.Placement = PlacementAnswerTime
 }
 
 // Decode reads settings strictly and validates them; file is the name that errors carry.
@@ -91,6 +97,6 @@
 	c.Duration("stop-timeout", s.StopTimeout, 500*time.Millisecond, time.Hour)
 	c.Duration("flow-lifetime", s.FlowLifetime, time.Second, 24*time.Hour)
 	c.Integer("memory-mb", s.MemoryMB, 16, 1<<20)
-	c.That(s.Placement == "answer-time" || s.Placement == "hash", "placement", `"answer-time" or "hash"`, s.Placement)
+	c.That(s.Placement == PlacementAnswerTime || s.Placement == PlacementHash, "placement", `"answer-time" or "hash"`, s.Placement)
 	return c.Err()
 }
