Read the store in a few entry VMs of each availability zone

Every entry VM waited for changes of the store for itself, and on 80 of them the calls cost more than all else. Members are found through the seeds with the SWIM list that was there, over plain datagrams: a QUIC handshake with each of 79 members takes seconds on 0.045 of a core. Ruled out: stale reads, which lag behind the bounds after the store has dropped history.

--- a/cmd/masticspard/direct.go
+++ b/cmd/masticspard/direct.go
@@ -55,11 +55,13 @@
 	stopping atomic.Bool
 	packetAt atomic.Int64 // time of the last packet
 
-	mu     sync.Mutex
-	engine direct.Engine
-	socket *fabric.Socket
-	out    []byte
-	awake  time.Duration // end of the time after a pause in which SYNs are dropped
+	mu      sync.Mutex
+	engine  direct.Engine
+	socket  *fabric.Socket
+	peers   *peers // nil when it works alone
+	replica *replica.Replica
+	out     []byte
+	awake   time.Duration // end of the time after a pause in which SYNs are dropped
 
 	stopTimeout time.Duration
 }
@@ -76,7 +78,7 @@
 			cleanups[i]()
 		}
 	}
-	for _, step := range []func() (func(), error){d.startTimer, d.startSocket, d.startStore, d.startOperator} {
+	for _, step := range []func() (func(), error){d.startTimer, d.startSocket, d.startPeers, d.startStore, d.startOperator} {
 		cleanup, err := step()
 		if err != nil {
 			stop()
@@ -182,34 +184,76 @@
 func (d *directDaemon) startStore() (func(), error) {
 	client, closeClient := store.New(d.settings.Store.String())
 	bound := min(time.Duration(d.settings.DrainBound), time.Duration(d.settings.ConfigurationBound))
-	_, stop := replica.New(replica.Config{
-		Read: client.Read, Watch: client.Watch, Now: d.timer.Now,
-		Wait:    min(time.Duration(d.settings.SettleTime)-time.Second, bound),
-		Collect: time.Duration(collectShare * float64(bound)),
-		Replace: func(changes []register.Change, away bool) { d.learn(changes, away, true) },
-		Apply:   func(changes []register.Change, away bool) { d.learn(changes, away, false) },
-		Lost: func(reason error) {
-			d.log.Warn("store-lost", zap.Error(reason))
-		},
-		Regained: func(outage time.Duration) {
-			d.log.Info("store-regained", zap.Duration("outage", outage))
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			d.engine.Register.Postpone(d.timer.Now())
-		},
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, stop := replica.New(replica.Config{
+		Read: client.Read, Watch: client.Watch, Configuration: client.Configuration, Now: d.timer.Now,
+		Wait:     min(time.Duration(d.settings.SettleTime)-time.Second, bound),
+		Collect:  time.Duration(collectShare * float64(bound)),
+		Replace:  d.replace,
+		Apply:    d.apply,
+		Reader:   d.reader,
+		Lost:     d.storeLost,
+		Regained: d.storeRegained,
 		Counters: d.counters,
 	})
+	d.replica = r
 	return func() {
 		stop()
 		closeClient()
 	}, nil
 }
 
-// learn puts what the store published in force.
-func (d *directDaemon) learn(changes []register.Change, away, complete bool) {
+// reader reports whether this entry VM waits for changes of the store itself.
+func (d *directDaemon) reader() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.timer.Now()
+	return d.peers == nil || d.peers.group.Reader(d.timer.Now())
+}
+
+func (d *directDaemon) storeLost(reason error) {
+	d.log.Warn("store-lost", zap.String("reason", reason.Error()))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.peers != nil {
+		d.peers.group.Lost()
+	}
+}
+
+func (d *directDaemon) storeRegained(outage time.Duration) {
+	d.log.Info("store-regained", zap.Duration("outage", outage))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.engine.Register.Postpone(d.timer.Now())
+}
+
+// replace puts a complete reading of the store in force.
+func (d *directDaemon) replace(changes []register.Change, revision uint64, away bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.learn(changes, func(now time.Duration) { d.engine.Register.Replace(now, changes, revision, away) })
+	d.log.Info("picture-read", zap.Int("entries", len(changes)), zap.Uint64("revision", revision), zap.Bool("away", away))
+	if d.peers != nil {
+		d.peers.group.Learned(d.timer.Now(), revision, revision, d.engine.Register.Version(), nil)
+	}
+}
+
+// apply puts changes of the store in force and passes them on.
+func (d *directDaemon) apply(changes []register.Change, since, revision uint64, away bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.learn(changes, func(now time.Duration) {
+		for _, c := range changes {
+			d.engine.Register.Apply(now, c, away)
+		}
+	})
+	if d.peers != nil {
+		d.peers.group.Learned(d.timer.Now(), since, revision, d.engine.Register.Version(), changes)
+	}
+}
+
+// learn logs what is wrong with changes and what their application by put altered.
+func (d *directDaemon) learn(changes []register.Change, put func(now time.Duration)) {
 	for _, c := range changes {
 		if c.Fault != "" {
 			d.counters.Add("entries-refused", 1)
@@ -218,19 +262,11 @@
 	}
 	r := &d.engine.Register
 	before := r.Version()
-	if complete {
-		r.Replace(now, changes, away)
-	} else {
-		for _, c := range changes {
-			r.Apply(now, c, away)
-		}
-	}
+	put(d.timer.Now())
 	if r.Version() != before {
+		d.counters.Add("configurations-accepted", 1)
 		d.log.Info("configuration-in-force", zap.Uint64("version", r.Version()), zap.Uint64("before", before))
 	}
-	if complete {
-		d.log.Info("picture-read", zap.Int("entries", len(changes)), zap.Bool("away", away))
-	}
 }
 
 func (d *directDaemon) startOperator() (func(), error) {
@@ -335,6 +371,12 @@
 // drain takes the entry VM out of rotation and returns when the routers send nothing more or the time is up.
 func (d *directDaemon) drain(signals <-chan os.Signal) error {
 	d.stopping.Store(true)
+	d.mu.Lock()
+	if d.peers != nil {
+		d.peers.list.Leave(d.timer.Now())
+		d.peers.socket.Flush()
+	}
+	d.mu.Unlock()
 	started := d.timer.Now()
 	d.mu.Lock()
 	limit := max(d.stopTimeout-stopMargin, leaveTime)
--- /dev/null
+++ b/cmd/masticspard/peers.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/masticspar/masticspar/internal/announce"
+	"github.com/masticspar/masticspar/internal/counter"
+	"github.com/masticspar/masticspar/internal/direct"
+	directsettings "github.com/masticspar/masticspar/internal/direct/settings"
+	"github.com/masticspar/masticspar/internal/fabric"
+	"github.com/masticspar/masticspar/internal/member"
+)
+
+// The first byte of a datagram between entry VMs is its kind.
+const (
+	kindMembership byte = iota + 1
+	kindAnnouncement
+)
+
+// sizeUnit is the size of a VM with size 1 in the messages of the membership protocol, which has whole numbers.
+const sizeUnit = 1000
+
+// peers exchanges membership and announcements with other entry VMs. The lock of the daemon serialises all calls.
+type peers struct {
+	list     member.List
+	group    announce.Group
+	socket   *fabric.Socket
+	counters *counter.Set
+	log      *zap.Logger
+	now      func() time.Duration
+	out      []byte
+}
+
+func newPeers(s *directsettings.Settings, counters *counter.Set, log *zap.Logger, now func() time.Duration) *peers {
+	p := &peers{counters: counters, log: log, now: now}
+	started := time.Now()
+	p.list = member.List{
+		Self: member.Member{
+			Name: s.Name, Zone: s.AvailabilityZone, Region: s.Region, Size: uint32(max(1, s.Size*sizeUnit)),
+			Control: s.PeerAddress, Data: s.DataAddress, Incarnation: uint64(started.UnixMilli()),
+		},
+		Seed: uint64(started.UnixNano()), Send: p.sendMembership, Changed: p.memberChanged, Counters: counters, Logger: log,
+	}
+	p.group = announce.Group{Self: s.Name, AvailabilityZone: s.AvailabilityZone, Send: p.sendAnnouncement}
+	return p
+}
+
+// contacts returns the peer addresses of the contacts, which the settings give with another port.
+func contacts(s *directsettings.Settings) []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, c := range s.Contacts {
+		list = append(list, netip.AddrPortFrom(c.Addr(), s.PeerAddress.Port()))
+	}
+	return list
+}
+
+func (p *peers) sendMembership(to member.Member, m member.Message) {
+	b, err := member.Encode(m)
+	p.send(to, kindMembership, b, err)
+}
+
+func (p *peers) sendAnnouncement(to member.Member, m *announce.Message) {
+	b, err := announce.Encode(m)
+	p.send(to, kindAnnouncement, b, err)
+}
+
+func (p *peers) send(to member.Member, kind byte, b []byte, err error) {
+	if err != nil {
+		p.counters.Add("messages-not-encoded", 1)
+		p.log.Error("message-not-encoded", zap.Error(err))
+		return
+	}
+	p.out = append(append(p.out[:0], kind), b...)
+	p.counters.Add("peer-bytes-sent", int64(len(p.out)))
+	p.socket.Send(to.Control, p.out, 0, p.now())
+}
+
+func (p *peers) memberChanged(m member.Member) {
+	p.counters.Add("member-"+m.State.String(), 1)
+	p.log.Info("member-state", zap.String("member", m.Name), zap.Stringer("state", m.State),
+		zap.Uint64("incarnation", m.Incarnation))
+	p.group.Members(p.list.Alive())
+}
+
+// startPeers opens the socket for other entry VMs; it does nothing when the settings name no address.
+func (d *directDaemon) startPeers() (func(), error) {
+	s := d.settings
+	if !s.PeerAddress.IsValid() {
+		return func() {}, nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := newPeers(s, d.counters, d.log, d.timer.Now)
+	socket, stop, err := fabric.New(s.PeerAddress, d.counters, d.peerDatagrams)
+	if err != nil {
+		return nil, errors.Annotate(err, "peer-address")
+	}
+	p.socket, d.peers = socket, p
+	p.list.Start(d.timer.Now(), contacts(s))
+	p.group.Members(p.list.Alive())
+	cancel := d.timer.Subscribe(direct.TickPeriod, func(now time.Duration) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		p.list.Tick(now)
+		p.group.Tick(now)
+		p.socket.Flush()
+	})
+	cancelPause := d.timer.OnPause(func(now, _ time.Duration) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		p.list.Resume(now)
+	})
+	return func() {
+		cancelPause()
+		cancel()
+		stop()
+	}, nil
+}
+
+func (d *directDaemon) peerDatagrams(batch []fabric.Datagram) {
+	if d.timer.Check() {
+		d.counters.Add("pauses-seen-by-peers", 1)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.peers == nil || d.replica == nil {
+		return // Not started yet.
+	}
+	for i := range batch {
+		if err := d.peerDatagram(batch[i].Bytes); err != nil {
+			d.counters.Add("messages-refused", 1)
+			d.log.Warn("message-refused", zap.Stringer("source", batch[i].Source), zap.Error(err))
+		}
+	}
+	d.peers.socket.Flush()
+}
+
+func (d *directDaemon) peerDatagram(b []byte) error {
+	if len(b) == 0 {
+		return errors.New("empty datagram")
+	}
+	now := d.timer.Now()
+	switch b[0] {
+	case kindMembership:
+		m, err := member.Decode(b[1:])
+		if err != nil {
+			return err
+		}
+		d.peers.list.Handle(now, m.From.Name, m)
+	case kindAnnouncement:
+		m, err := announce.Decode(b[1:])
+		if err != nil {
+			return err
+		}
+		d.announced(now, m)
+	default:
+		return errors.Errorf("unknown kind %d", b[0])
+	}
+	return nil
+}
+
+// announced puts an announcement in force.
+func (d *directDaemon) announced(now time.Duration, m *announce.Message) {
+	a := d.peers.group.Handle(now, m, d.replica.Revision(), d.engine.Register.Version())
+	for _, c := range a.Apply {
+		d.engine.Register.Apply(now, c, false)
+	}
+	if a.Revision > 0 {
+		d.replica.Advance(a.Revision)
+		d.counters.Add("announcements-applied", 1)
+	}
+	if a.Read {
+		d.counters.Add("store-retry-announcement-gap", 1)
+		d.replica.Again(false)
+	} else if a.ReadConfiguration {
+		d.replica.Again(true)
+	}
+}
--- a/internal/direct/settings/settings.go
+++ b/internal/direct/settings/settings.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -34,6 +35,12 @@
 	OperatorAddress netip.AddrPort `json:"operator-address"`
 	// MetricsAddress serves the metrics by HTTP.
 	MetricsAddress netip.AddrPort `json:"metrics-address"`
+	// PeerAddress receives messages of other entry VMs; empty works alone.
+	PeerAddress netip.AddrPort `json:"peer-address"`
+	// Contacts are the addresses of entry VMs to ask at the start; their port is that of PeerAddress.
+	Contacts []netip.AddrPort `json:"contacts,omitempty"`
+	// Size is the relative size of the VM; large ones read the store for the others.
+	Size float64 `json:"size"`
 	// Store is the address of the store with the asset register and the configuration.
 	Store netip.AddrPort `json:"store"`
 
@@ -61,6 +68,7 @@
 	s.StopTimeout = document.Duration(6 * time.Second)
 	s.FlowLifetime = document.Duration(time.Minute)
 	s.MemoryMB = 256
+	s.Size = 1
 	s.Placement = PlacementAnswerTime
 }
 
@@ -91,6 +99,13 @@
 	c.Address("operator-address", s.OperatorAddress)
 	c.Address("metrics-address", s.MetricsAddress)
 	c.Address("store", s.Store)
+	if s.PeerAddress.IsValid() {
+		c.Address("peer-address", s.PeerAddress)
+	}
+	for i, a := range s.Contacts {
+		c.Address(fmt.Sprintf("contacts[%d]", i), a)
+	}
+	c.That(s.Size >= 0.001 && s.Size <= 1000, "size", "a number from 0.001 to 1000", s.Size)
 	c.Duration("settle-time", s.SettleTime, 500*time.Millisecond, time.Minute)
 	c.Duration("drain-bound", s.DrainBound, 500*time.Millisecond, time.Hour)
 	c.Duration("configuration-bound", s.ConfigurationBound, 500*time.Millisecond, time.Hour)
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -18,23 +18,23 @@
 // Host is one start of a backend server as the asset register lists it.
 type Host struct {
 	// Name identifies the server; it may stay the same over a restart.
-	Name string
+	Name string `cbor:"1,keyasint"`
 	// Number is the form of the name that datagrams to the server carry.
-	Number uint64
+	Number uint64 `cbor:"2,keyasint"`
 	// Service is the name of the service that the server offers.
-	Service string
+	Service string `cbor:"3,keyasint"`
 	// Address receives the packets of flows; another server may get it later.
-	Address netip.AddrPort
+	Address netip.AddrPort `cbor:"4,keyasint"`
 	// AvailabilityZone is where the server runs.
-	AvailabilityZone string
+	AvailabilityZone string `cbor:"5,keyasint"`
 	// Slots is the number of requests that the server works on at the same time.
-	Slots int
+	Slots int `cbor:"6,keyasint"`
 	// Leaving says that the server shuts down and must get no new flow.
-	Leaving bool
+	Leaving bool `cbor:"7,keyasint,omitempty"`
 	// Cold is how much longer the server is slow after its start.
-	Cold time.Duration
+	Cold time.Duration `cbor:"8,keyasint,omitempty"`
 	// Started is the time of the start in Unix milliseconds.
-	Started int64
+	Started int64 `cbor:"9,keyasint"`
 }
 
 // Target is a service that a route sends a part of its flows to.
@@ -70,13 +70,15 @@
 // Change is one change of the published state.
 type Change struct {
 	// Name is the server that changed; empty for a configuration.
-	Name string
+	Name string `cbor:"1,keyasint,omitempty"`
+	// Revision orders the changes of a server.
+	Revision uint64 `cbor:"2,keyasint"`
 	// Host is the new entry of the server; nil when it has none or one that cannot be used.
-	Host *Host
+	Host *Host `cbor:"3,keyasint,omitempty"`
 	// Configuration is a published configuration.
-	Configuration *Configuration
+	Configuration *Configuration `cbor:"-"`
 	// Fault says why an entry cannot be used; empty for removed and good ones.
-	Fault string
+	Fault string `cbor:"4,keyasint,omitempty"`
 }
 
 // State is what an entry VM believes about a lifetime.
@@ -127,7 +129,7 @@
 	tokens    map[uint32]*Lifetime
 	addresses map[netip.AddrPort]*Lifetime
 	services  map[string][]*Lifetime
-	revision  uint64
+	revisions map[string]uint64 // of the last change of each name
 }
 
 // NewToken returns the token of a lifetime; it is never 0, which packets carry before they have a token.
@@ -147,9 +149,6 @@
 // Version returns the version of the configuration in force; 0 means none.
 func (r *Register) Version() uint64 { return r.version }
 
-// Revision counts the changes of the lifetimes that take new flows.
-func (r *Register) Revision() uint64 { return r.revision }
-
 // Route returns the route of an address or nil.
 func (r *Register) Route(a netip.AddrPort) *Route { return r.routes[a] }
 
@@ -172,14 +171,22 @@
 // Apply takes a change. Away says that the store was away within the last moments, so that a removed entry may only
 // have lapsed. It reports whether the change altered the picture.
 func (r *Register) Apply(now time.Duration, c Change, away bool) bool {
-	switch {
-	case c.Configuration != nil:
+	if c.Configuration != nil {
 		return r.configure(c.Configuration)
-	case c.Host != nil:
+	}
+	if c.Name == "" || c.Revision < r.revisions[c.Name] { // A later change came first.
+		return false
+	}
+	if r.revisions == nil {
+		r.revisions = map[string]uint64{}
+	}
+	r.revisions[c.Name] = c.Revision
+	if c.Host != nil {
 		return r.list(now, c.Host)
 	}
 	l := r.names[c.Name]
 	if l == nil {
+		delete(r.revisions, c.Name)
 		return false
 	}
 	if c.Fault == "" && away && l.State == Ready {
@@ -191,8 +198,9 @@
 	return r.set(now, l, Gone)
 }
 
-// Replace takes a complete reading of the servers. Servers that it does not name lapsed or are gone, as in Apply.
-func (r *Register) Replace(now time.Duration, changes []Change, away bool) {
+// Replace takes a complete reading of the servers at a revision. Servers that it does not name lapsed or are gone, as in
+// Apply.
+func (r *Register) Replace(now time.Duration, changes []Change, revision uint64, away bool) {
 	named := make(map[string]bool, len(changes))
 	for _, c := range changes {
 		if c.Name != "" {
@@ -202,7 +210,7 @@
 	}
 	for name := range r.names {
 		if !named[name] {
-			r.Apply(now, Change{Name: name}, away)
+			r.Apply(now, Change{Name: name, Revision: revision}, away)
 		}
 	}
 }
@@ -224,6 +232,7 @@
 			delete(r.tokens, token)
 			if r.names[l.Name] == l {
 				delete(r.names, l.Name)
+				delete(r.revisions, l.Name)
 			}
 			if r.addresses[l.Address] == l {
 				delete(r.addresses, l.Address)
@@ -317,7 +326,6 @@
 		return false
 	}
 	l.State, l.Since = s, now
-	r.revision++
 	r.remove(l)
 	if (s == Ready || s == Lapsed) && l.Token != 0 {
 		r.services[l.Service] = append(slices.Clip(r.services[l.Service]), l)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -26,6 +27,8 @@
 	// firstDelay and lastDelay bound the time between two tries; every call counts against the limit of the store.
 	firstDelay = 100 * time.Millisecond
 	lastDelay  = 1200 * time.Millisecond
+	// idlePause is the time between two looks whether this process has to read.
+	idlePause = 200 * time.Millisecond
 	// recentAway is how long after an outage a vanished entry may only have lapsed.
 	recentAway = 4 * time.Second
 )
@@ -46,10 +49,14 @@
 	Read func(ctx context.Context, after string) (Page, error)
 	// Watch returns changes after the revision as soon as there is one, or none after the wait.
 	Watch func(ctx context.Context, after uint64, wait time.Duration) (Page, error)
-	// Replace takes a complete reading; away says that the store was away within the last moments.
-	Replace func(changes []register.Change, away bool)
-	// Apply takes changes in order.
-	Apply func(changes []register.Change, away bool)
+	// Configuration returns the configuration alone.
+	Configuration func(ctx context.Context) (Page, error)
+	// Replace takes a complete reading at a revision; away says that the store was away within the last moments.
+	Replace func(changes []register.Change, revision uint64, away bool)
+	// Apply takes the changes after since up to revision, in order; there may be none.
+	Apply func(changes []register.Change, since, revision uint64, away bool)
+	// Reader reports whether this process has to wait for changes itself; nil says that it has.
+	Reader func() bool
 	// Lost and Regained are called once for each outage.
 	Lost     func(reason error)
 	Regained func(outage time.Duration)
@@ -66,9 +73,13 @@
 // Replica follows the state of one store.
 type Replica struct {
 	Config
-	tb       tomb.Tomb
-	revision uint64
-	synced   bool
+	tb tomb.Tomb
+
+	mu            sync.Mutex
+	revision      uint64
+	synced        bool
+	configuration bool // the configuration alone is to be read
+
 	away     bool          // the last call failed
 	awayFrom time.Duration // start of the current outage
 	awayTo   time.Duration // end of the last outage
@@ -97,14 +108,63 @@
 	}
 }
 
-// step makes one reading or one waiting call and returns the pause before the next.
+// Revision returns the revision up to which the state is known.
+func (r *Replica) Revision() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revision
+}
+
+// Advance takes note that the changes up to a revision came from another process.
+func (r *Replica) Advance(revision uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision = max(r.revision, revision)
+}
+
+// Again makes the next step a complete reading, or one of the configuration alone.
+func (r *Replica) Again(configuration bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if configuration {
+		r.configuration = true
+	} else {
+		r.synced = false
+	}
+}
+
+// step makes one call or one reading and returns the pause before the next.
 func (r *Replica) step(ctx context.Context) time.Duration {
-	if !r.synced {
+	r.mu.Lock()
+	synced, configuration := r.synced, r.configuration
+	r.configuration = false
+	r.mu.Unlock()
+	switch {
+	case !synced:
 		return r.read(ctx)
+	case configuration:
+		return r.readConfiguration(ctx)
+	case r.Reader != nil && !r.Reader():
+		return idlePause
 	}
 	return r.watch(ctx)
 }
 
+func (r *Replica) readConfiguration(ctx context.Context) time.Duration {
+	r.Counters.Add("store-reads", 1)
+	call, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	page, err := r.Configuration(call)
+	if err != nil {
+		r.Again(true)
+		return r.failed(err)
+	}
+	r.succeeded()
+	revision := r.Revision()
+	r.Apply(page.Changes, revision, revision, r.recentlyAway())
+	return 0
+}
+
 func (r *Replica) read(ctx context.Context) time.Duration {
 	var changes []register.Change
 	var revision uint64
@@ -126,8 +186,10 @@
 		}
 	}
 	r.succeeded()
-	r.Replace(changes, r.recentlyAway())
-	r.revision, r.synced = revision, true
+	r.Replace(changes, revision, r.recentlyAway())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision, r.synced = max(r.revision, revision), true
 	return 0
 }
 
@@ -135,21 +197,22 @@
 	r.Counters.Add("store-watches", 1)
 	call, cancel := context.WithTimeout(ctx, r.Wait+watchMargin)
 	defer cancel()
-	page, err := r.Watch(call, r.revision, r.Wait)
+	since := r.Revision()
+	page, err := r.Watch(call, since, r.Wait)
 	if errors.Is(err, ErrForgotten) {
 		r.Counters.Add("store-retry-forgotten", 1)
-		r.synced = false
+		r.Again(false)
 		return 0
 	}
 	if err != nil {
 		return r.failed(err)
 	}
 	r.succeeded()
-	r.revision = max(r.revision, page.Revision)
+	r.Apply(page.Changes, since, max(since, page.Revision), r.recentlyAway())
+	r.Advance(page.Revision)
 	if len(page.Changes) == 0 {
 		return 0
 	}
-	r.Apply(page.Changes, r.recentlyAway())
 	return r.Collect
 }
 
