Order servers at one address by revision, not by their clocks

A rapid machine found two servers in use at one address when the entry of the former was listed last, and a server whose clock was set back would not have been used after a restart: starts were compared across clocks. The revision at which a lifetime was first listed decides now. Tests of the register, the decisions about packets and the placement come with it.

--- /dev/null
+++ b/internal/direct/engine_test.go
@@ -0,0 +1,313 @@
+package direct
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/masticspar/masticspar/internal/placement"
+	"github.com/masticspar/masticspar/internal/register"
+	"github.com/masticspar/masticspar/internal/track"
+)
+
+var serviceAddress = netip.MustParseAddrPort("198.18.0.1:443")
+
+const goal = 150 * time.Millisecond
+
+// site is an entry VM with servers of one service.
+type site struct {
+	Engine
+	t     *testing.T
+	now   time.Duration
+	ports uint16
+}
+
+func newSite(t *testing.T, hosts int) *site {
+	s := &site{t: t, now: time.Second}
+	s.Placement.AvailabilityZone = "wa-perth"
+	s.Start()
+	s.Register.Apply(s.now, register.Change{Configuration: &register.Configuration{
+		Version: 1, Routes: []register.Route{{
+			Name: "job-board", Address: serviceAddress, Idempotent: true, Goal: goal,
+			Targets: []register.Target{{Service: "standdesk", Weight: 1}},
+		}},
+	}}, false)
+	for i := range hosts {
+		s.list(i, "wa-perth", false)
+	}
+	return s
+}
+
+func (s *site) list(i int, zone string, leaving bool) {
+	s.Register.Apply(s.now, register.Change{
+		Name: fmt.Sprint("i-", i), Revision: uint64(s.now), Created: uint64(i + 1), Host: &register.Host{
+			Name: fmt.Sprint("i-", i), Number: uint64(i), Service: "standdesk", AvailabilityZone: zone, Slots: 2, Started: 1,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80), Leaving: leaving,
+		},
+	}, false)
+}
+
+func (s *site) wait(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.now = min(end, s.now+TickPeriod)
+		s.Tick(s.now)
+	}
+}
+
+// caller is one flow.
+type caller struct {
+	*site
+	track.Key
+	token    uint32
+	sequence uint32
+	answered uint32
+}
+
+func (s *site) caller(address byte) *caller {
+	s.ports++
+	a := netip.AddrFrom4([4]byte{100, 64, 0, address})
+	return &caller{site: s, Key: track.Key{Caller: netip.AddrPortFrom(a, 1024+s.ports), Service: serviceAddress}, answered: 1000}
+}
+
+func (c *caller) syn() Verdict { return c.Packet(c.now, &track.Packet{Key: c.Key, SYN: true}) }
+
+func (c *caller) open() Verdict {
+	c.t.Helper()
+	v := c.syn()
+	if v.Action != Forward {
+		c.t.Fatalf("SYN: %+v", v)
+	}
+	c.token = v.Host.Token
+	c.now += time.Millisecond
+	return c.send(0)
+}
+
+// send sends data of the given length, with an acknowledgement of all answers.
+func (c *caller) send(length int) Verdict {
+	v := c.Packet(c.now, &track.Packet{
+		Key: c.Key, Token: c.token, ACK: true, Sequence: c.sequence, Acknowledged: c.answered, Length: length,
+	})
+	c.sequence += uint32(length)
+	return v
+}
+
+func (c *caller) resend(length int) Verdict {
+	c.sequence -= uint32(length)
+	return c.send(length)
+}
+
+// request sends a request that is answered after d.
+func (c *caller) request(d time.Duration) {
+	c.send(100)
+	c.now += d
+	c.answered += 500
+	c.send(0)
+}
+
+// Guards against a packet of an open flow that another server gets, at an entry VM that has not seen the flow.
+func TestTokenFindsTheServerAtAnyEntryVM(t *testing.T) {
+	is := is.New(t)
+	first, second := newSite(t, 8), newSite(t, 8)
+	for range 20 {
+		c := first.caller(1)
+		host := c.open().Host.Name
+		c.site = second
+		is.Equal(c.send(100).Host.Name, host)
+	}
+}
+
+// Guards against a flow that is cut when its server leaves.
+func TestOpenFlowStaysWithLeavingServer(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1)
+	c := s.caller(1)
+	c.open()
+	s.wait(time.Second)
+	s.list(0, "wa-perth", true)
+	v := c.send(100)
+	is.Equal(v.Action, Forward)
+	is.Equal(v.Host.State, register.Leaving)
+	is.Equal(s.caller(2).syn(), Verdict{Action: Reset, Reason: placement.NoHost})
+}
+
+// Guards against a SYN without a route that waits for its timeout.
+func TestNoRouteIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1)
+	c := s.caller(1)
+	c.Key.Service = netip.MustParseAddrPort("198.18.0.9:443")
+	is.Equal(c.syn(), Verdict{Action: Reset, Reason: NoRoute})
+}
+
+// Guards against a refusal by an entry VM that knows nothing yet, which would tell callers that a route is gone.
+func TestNothingIsRefusedWithoutAPicture(t *testing.T) {
+	is := is.New(t)
+	s := &site{t: t}
+	s.Start()
+	is.Equal(s.caller(1).syn(), Verdict{Reason: NoPicture})
+}
+
+// Guards against a reset of a flow whose server is merely unknown here.
+func TestUnknownTokenIsNotReset(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1)
+	c := s.caller(1)
+	c.token = 12345
+	is.Equal(c.send(100), Verdict{Reason: UnknownToken})
+}
+
+// Guards against callers that try a dead server three times: copies of a SYN go to other servers.
+func TestCopiesOfASYNGoToOtherServers(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 4)
+	c := s.caller(1)
+	seen := map[string]bool{c.syn().Host.Name: true}
+	s.wait(200 * time.Millisecond)
+	v := c.syn()
+	is.True(v.Again)
+	seen[v.Host.Name] = true
+	s.wait(400 * time.Millisecond)
+	seen[c.syn().Host.Name] = true
+	is.Equal(len(seen), 3)
+}
+
+// Guards against two servers that answer one SYN, because its copy was read right after it.
+func TestCopyThatWaitedHereGoesToTheSameServer(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 8)
+	c := s.caller(1)
+	host := c.syn().Host.Name
+	s.now += 5 * time.Millisecond
+	is.Equal(c.syn().Host.Name, host)
+}
+
+// Guards against a copy of a SYN that opens a second flow after the first has answered.
+func TestLateCopyIsDropped(t *testing.T) {
+	is := is.New(t)
+	c := newSite(t, 4).caller(1)
+	c.open()
+	is.Equal(c.syn(), Verdict{Reason: LateSYN})
+}
+
+// Guards against a flow that is counted at the wrong server: the SYN went to one, its copy to another, and the first one
+// answered after all. Packets follow the token that the caller returns.
+func TestFirstServerAnswersAfterTheCopy(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 4)
+	c := s.caller(1)
+	first := c.syn().Host
+	s.wait(200 * time.Millisecond)
+	second := c.syn().Host
+	c.token = first.Token
+	is.Equal(c.send(100).Host.Name, first.Name)
+	is.Equal(s.Flows.Get(c.Key).Host, first.Token)
+	is.Equal(s.Placement.Load(s.now, second.Token).Open, 0)
+	is.Equal(s.Placement.Load(s.now, first.Token).Outstanding, 1)
+}
+
+// Guards against a server whose process has ended: it refuses each SYN at once, has no work and attracts all new flows.
+// A caller tries again from a new port within milliseconds, twice.
+func TestRefusingServerDoesNotAttractFlows(t *testing.T) {
+	s := newSite(t, 4)
+	lost := 0
+	for i := range 300 {
+		for try := range 3 {
+			c := s.caller(byte(i % 30))
+			if c.syn().Host.Name != "i-0" {
+				s.now += time.Millisecond
+				v := c.syn() // No copy; it only finds the server again.
+				c.token = v.Host.Token
+				c.send(0)
+				c.request(20 * time.Millisecond)
+				break
+			}
+			s.now += 6 * time.Millisecond
+			if try == 2 {
+				lost++
+			}
+		}
+		s.wait(10 * time.Millisecond)
+	}
+	if lost > 0 {
+		t.Fatalf("%d requests tried the refusing server three times", lost)
+	}
+	if load := s.Placement.Load(s.now, s.Register.Hosts("standdesk")[0].Token); load.Repeats == 0 {
+		t.Fatal("the refusing server is not suspected")
+	}
+}
+
+// Guards against callers that wait for a dead server until their time is up, and against a reset while all are silent.
+func TestFlowOfADeadServerIsReset(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		alive bool
+		want  Action
+	}{
+		{"others answer", true, Reset},
+		{"all are silent", false, Forward},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSite(t, 2)
+			var dead, live []*caller
+			for len(dead) < 3 || len(live) < 1 {
+				c := s.caller(byte(len(dead) + 10*len(live)))
+				if c.open().Host.Name == "i-0" {
+					dead = append(dead, c)
+				} else {
+					live = append(live, c)
+				}
+			}
+			for _, c := range dead {
+				c.send(100)
+			}
+			var v Verdict
+			for range 3 {
+				s.wait(200 * time.Millisecond)
+				if test.alive {
+					live[0].request(10 * time.Millisecond)
+				}
+				for _, c := range dead {
+					v = c.resend(100)
+					if v.Action == Reset {
+						break
+					}
+				}
+			}
+			if v.Action != test.want {
+				t.Fatalf("got %+v, want action %v", v, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a flow that waits for a server whose address another one has.
+func TestFlowOfAReplacedServerIsReset(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1)
+	c := s.caller(1)
+	c.open()
+	s.Register.Apply(s.now, register.Change{Name: "i-9", Revision: uint64(s.now), Created: 99, Host: &register.Host{
+		Name: "i-9", Service: "photointake", Address: netip.MustParseAddrPort("10.0.0.1:80"), Started: 2,
+	}}, false)
+	v := c.send(100)
+	is.Equal(v.Action, Reset)
+	is.Equal(v.Reason, HostReplaced)
+}
+
+// Guards against shares of a route that differ between entry VMs or from the weights.
+func TestShareOfTargets(t *testing.T) {
+	is := is.New(t)
+	r := &register.Route{Targets: []register.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	count := 0
+	const flows = 5000
+	for i := range flows {
+		k := track.Key{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.1"), uint16(i)), Service: serviceAddress}
+		if service(r, hashOf(k)) == "b" {
+			count++
+		}
+	}
+	is.True(count > flows/20 && count < flows*3/20)
+}
--- /dev/null
+++ b/internal/placement/model_test.go
@@ -0,0 +1,186 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/register"
+	"github.com/masticspar/masticspar/internal/signal"
+)
+
+func lifetimes(zones ...string) []*register.Lifetime {
+	var list []*register.Lifetime
+	for i, z := range zones {
+		list = append(list, &register.Lifetime{
+			Host: register.Host{Name: fmt.Sprint("i-", i), AvailabilityZone: z, Slots: 2}, Token: uint32(i + 1),
+		})
+	}
+	return list
+}
+
+const homeZone = "wa-perth"
+
+// station is a backend server with slots in virtual time.
+type station struct {
+	speed float64
+	free  []time.Duration // when each slot ends its work
+}
+
+// serve returns when work that arrives now is done.
+func (s *station) serve(now, work time.Duration) time.Duration {
+	first := 0
+	for i, f := range s.free {
+		if f < s.free[first] {
+			first = i
+		}
+	}
+	s.free[first] = max(now, s.free[first]) + time.Duration(float64(work)/s.speed)
+	return s.free[first]
+}
+
+// replay sends Poisson arrivals to servers of the given speeds through several entry VMs that do not talk to each other,
+// and returns the share of requests that took longer than the goal.
+func replay(hash bool, speeds []float64, perSecond float64, entries int, seed uint64) float64 {
+	const (
+		work     = 32 * time.Millisecond
+		duration = 30 * time.Second
+		deadline = 150 * time.Millisecond
+	)
+	random := rand.New(rand.NewPCG(seed, 1))
+	var zones []string
+	for range speeds {
+		zones = append(zones, homeZone)
+	}
+	hosts := lifetimes(zones...)
+	models := make([]Model, entries)
+	stations := make([]station, len(speeds))
+	for i := range stations {
+		stations[i] = station{speed: speeds[i], free: make([]time.Duration, 2)}
+	}
+	for i := range models {
+		models[i] = Model{AvailabilityZone: homeZone, Hash: hash}
+	}
+	type answer struct {
+		at, elapsed time.Duration
+		model       *Model
+		token       uint32
+	}
+	var answers []answer
+	late, all := 0, 0
+	for now := time.Duration(0); now < duration; {
+		now += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))
+		kept := answers[:0]
+		for _, a := range answers {
+			if a.at <= now {
+				a.model.Observe(a.at, signal.Event{Kind: signal.Answered, Host: a.token, Elapsed: a.elapsed})
+			} else {
+				kept = append(kept, a)
+			}
+		}
+		answers = kept
+		m := &models[random.IntN(entries)]
+		h, _ := m.Pick(now, hosts, Flow{Hash: random.Uint64(), Goal: deadline})
+		m.Observe(now, signal.Event{Kind: signal.Opened, Host: h.Token})
+		m.Observe(now, signal.Event{Kind: signal.Accepted, Host: h.Token})
+		m.Observe(now, signal.Event{Kind: signal.Requested, Host: h.Token})
+		done := stations[h.Token-1].serve(now, time.Duration(random.ExpFloat64()*float64(work)/2)+work/2)
+		answers = append(answers, answer{at: done, elapsed: done - now, model: m, token: h.Token})
+		if all++; done-now > deadline {
+			late++
+		}
+	}
+	return float64(late) / float64(all)
+}
+
+// Guards against servers of different speeds that all get the same work. The load is that of a burst in one availability
+// zone with its servers at speeds 0.6 to 1.6, seen by three entry VMs.
+func TestSlowServersGetLess(t *testing.T) {
+	speeds := []float64{0.6, 1, 1.6, 0.6, 1}
+	for seed := range uint64(5) {
+		hash, own := replay(true, speeds, 220, 3, seed), replay(false, speeds, 220, 3, seed)
+		if own > hash/3 {
+			t.Errorf("seed %d: %.4f of the requests late, %.4f by hash", seed, own, hash)
+		}
+	}
+}
+
+// Guards against servers in another availability zone that are used while the own zone has room, and against a full zone
+// that keeps its flows.
+func TestLeavesTheZoneOnlyWhenItIsBusy(t *testing.T) {
+	m := Model{AvailabilityZone: homeZone}
+	hosts := lifetimes(homeZone, homeZone, "wa-south")
+	away := func(now time.Duration) int {
+		n := 0
+		for i := range uint64(100) {
+			h, _ := m.Pick(now, hosts, Flow{Hash: i * 7919, Goal: 150 * time.Millisecond})
+			if h.AvailabilityZone != homeZone {
+				n++
+			}
+		}
+		return n
+	}
+	if n := away(time.Second); n > 0 {
+		t.Errorf("%d of 100 flows left an idle zone", n)
+	}
+	for range 12 {
+		m.Observe(time.Second, signal.Event{Kind: signal.Requested, Host: 1})
+		m.Observe(time.Second, signal.Event{Kind: signal.Requested, Host: 2})
+	}
+	if n := away(2 * time.Second); n < 100 {
+		t.Errorf("%d of 100 flows left a busy zone", n)
+	}
+}
+
+// Guards against each server of an unreachable availability zone that costs a caller a try of its own.
+func TestZoneThatIsCutOff(t *testing.T) {
+	m := Model{AvailabilityZone: homeZone}
+	hosts := lifetimes(homeZone, "wa-south", "wa-south", "wa-south", "wa-south")
+	now := time.Second
+	for range 20 { // The own zone is so busy that flows leave it.
+		m.Observe(now, signal.Event{Kind: signal.Requested, Host: 1})
+	}
+	tries := map[uint32]int{}
+	for i := range uint64(200) {
+		now += 20 * time.Millisecond
+		m.Observe(now, signal.Event{Kind: signal.Answered, Host: 1, Elapsed: 200 * time.Millisecond})
+		m.Observe(now, signal.Event{Kind: signal.Requested, Host: 1})
+		h, _ := m.Pick(now, hosts, Flow{Hash: i * 7919, Goal: 150 * time.Millisecond})
+		tries[h.Token]++
+		if h.Token != 1 {
+			m.Observe(now, signal.Event{Kind: signal.Opened, Host: h.Token})
+			m.Observe(now+200*time.Millisecond, signal.Event{Kind: signal.Unanswered, Host: h.Token, Elapsed: 200 * time.Millisecond})
+		}
+	}
+	lost := 0
+	for token, n := range tries {
+		if token != 1 {
+			lost += n
+		}
+	}
+	if lost > 12 { // Two to notice, and one each second of four.
+		t.Errorf("%d of 200 flows went to a zone that does not answer: %v", lost, tries)
+	}
+}
+
+// Guards against a server that is never tried again after it was silent.
+func TestSilentServerGetsATrial(t *testing.T) {
+	m := Model{AvailabilityZone: homeZone}
+	hosts := lifetimes(homeZone, homeZone)
+	now := time.Second
+	m.Observe(now, signal.Event{Kind: signal.Opened, Host: 1})
+	m.Observe(now, signal.Event{Kind: signal.Unanswered, Host: 1, Elapsed: 0})
+	for range 20 {
+		m.Observe(now, signal.Event{Kind: signal.Requested, Host: 2})
+	}
+	if h, _ := m.Pick(now, hosts, Flow{}); h.Token != 2 {
+		t.Fatal("a server that was silent just now got a flow")
+	}
+	if h, _ := m.Pick(now+2*time.Second, hosts, Flow{}); h.Token != 1 {
+		t.Fatal("the silent server got no trial flow")
+	}
+	if h, _ := m.Pick(now+2*time.Second, hosts, Flow{}); h.Token != 2 {
+		t.Fatal("the silent server got a second trial flow at once")
+	}
+}
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -33,7 +33,8 @@
 	Leaving bool `cbor:"7,keyasint,omitempty"`
 	// Cold is how much longer the server is slow after its start.
 	Cold time.Duration `cbor:"8,keyasint,omitempty"`
-	// Started is the time of the start in Unix milliseconds.
+	// Started is the time of the start in Unix milliseconds by the server's clock, which may have been set back since an
+	// earlier start.
 	Started int64 `cbor:"9,keyasint"`
 }
 
@@ -73,6 +74,8 @@
 	Name string `cbor:"1,keyasint,omitempty"`
 	// Revision orders the changes of a server.
 	Revision uint64 `cbor:"2,keyasint"`
+	// Created is the revision at which the entry of the server came into being.
+	Created uint64 `cbor:"5,keyasint,omitempty"`
 	// Host is the new entry of the server; nil when it has none or one that cannot be used.
 	Host *Host `cbor:"3,keyasint,omitempty"`
 	// Configuration is a published configuration.
@@ -110,6 +113,8 @@
 	Seen time.Duration
 	// ColdUntil is when the server stops being slow after its start.
 	ColdUntil time.Duration
+	// First is the revision at which the lifetime was first listed; of two at one address the later one has it.
+	First uint64
 	// Replaced says that the server ended for certain: its name or its address has a newer lifetime.
 	Replaced bool
 }
@@ -182,7 +187,7 @@
 	}
 	r.revisions[c.Name] = c.Revision
 	if c.Host != nil {
-		return r.list(now, c.Host)
+		return r.list(now, &c)
 	}
 	l := r.names[c.Name]
 	if l == nil {
@@ -262,21 +267,21 @@
 	return true
 }
 
-func (r *Register) list(now time.Duration, h *Host) bool {
+func (r *Register) list(now time.Duration, c *Change) bool {
 	if r.names == nil {
 		r.names, r.tokens = map[string]*Lifetime{}, map[uint32]*Lifetime{}
 		r.addresses, r.services = map[netip.AddrPort]*Lifetime{}, map[string][]*Lifetime{}
 	}
+	h := c.Host
+	first := c.Created
 	l := r.names[h.Name]
-	if l != nil && h.Started < l.Started {
-		return false // An answer that was overtaken.
+	if l != nil && l.Started != h.Started {
+		l.Replaced = true
+		r.set(now, l, Gone)
+		l, first = nil, c.Revision
 	}
-	if l == nil || l.Started != h.Started {
-		if l != nil {
-			l.Replaced = true
-			r.set(now, l, Gone)
-		}
-		l = r.add(now, h)
+	if l == nil {
+		l = r.add(now, h, max(first, 1))
 	}
 	moved := l.Address != h.Address || l.Service != h.Service
 	if moved {
@@ -293,8 +298,10 @@
 }
 
 // add creates a lifetime. Of two lifetimes with one token the first keeps it; the other takes no flows.
-func (r *Register) add(now time.Duration, h *Host) *Lifetime {
-	l := &Lifetime{Host: *h, Token: NewToken(h.Name, h.Started), State: Gone, Since: now, Seen: now}
+func (r *Register) add(now time.Duration, h *Host, first uint64) *Lifetime {
+	l := &Lifetime{
+		Host: *h, Token: NewToken(h.Name, h.Started), State: Gone, Since: now, Seen: now, First: first,
+	}
 	if r.tokens[l.Token] != nil {
 		l.Token = 0
 	} else {
@@ -304,20 +311,22 @@
 	return l
 }
 
-// occupy gives the address of l to l, if no later lifetime has it.
+// occupy gives the address of l to the lifetime that was listed there last; the other has ended.
 func (r *Register) occupy(now time.Duration, l *Lifetime) {
 	other := r.addresses[l.Address]
 	if other == l {
 		return
 	}
-	if other != nil {
-		if other.Started > l.Started {
-			return
-		}
-		other.Replaced = true
-		r.set(now, other, Gone)
+	former := other
+	if other == nil || other.First <= l.First {
+		r.addresses[l.Address] = l
+	} else {
+		former = l
+	}
+	if former != nil {
+		former.Replaced = true
+		r.set(now, former, Gone)
 	}
-	r.addresses[l.Address] = l
 }
 
 func (r *Register) set(now time.Duration, l *Lifetime, s State) bool {
--- /dev/null
+++ b/internal/register/register_test.go
@@ -0,0 +1,223 @@
+package register
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var (
+	addressA = netip.MustParseAddrPort("10.1.0.1:80")
+	addressB = netip.MustParseAddrPort("10.1.0.2:80")
+)
+
+func host(name string, started int64, address netip.AddrPort) *Host {
+	return &Host{Name: name, Service: "standdesk", Address: address, AvailabilityZone: "wa-perth", Slots: 2, Started: started}
+}
+
+func listed(h *Host, revision uint64) Change {
+	return Change{Name: h.Name, Host: h, Revision: revision, Created: revision}
+}
+
+func names(r *Register) []string {
+	list := []string{}
+	for _, l := range r.Hosts("standdesk") {
+		list = append(list, l.Name)
+	}
+	return list
+}
+
+// Guards against a leaving server that gets new flows, and against flows of a leaving server that are lost.
+func TestLeavingServerKeepsItsFlows(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	h := host("i-1", 1, addressA)
+	r.Apply(0, listed(h, 1), false)
+	token := r.Hosts("standdesk")[0].Token
+	leaving := *h
+	leaving.Leaving = true
+	r.Apply(time.Second, listed(&leaving, 2), false)
+	is.Equal(names(&r), []string{})
+	is.Equal(r.Lifetime(token).State, Leaving)
+	r.Apply(2*time.Second, Change{Name: "i-1", Revision: 3}, false)
+	is.Equal(r.Lifetime(token).State, Gone)
+	r.Sweep(2*time.Second + DefaultRetention)
+	is.Equal(r.Lifetime(token), nil)
+}
+
+// Guards against a late answer of the store that brings back a server that has left.
+func TestOlderChangeIsIgnored(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	h := host("i-1", 1, addressA)
+	leaving := *h
+	leaving.Leaving = true
+	r.Apply(0, listed(&leaving, 5), false)
+	r.Apply(0, listed(h, 4), false)
+	is.Equal(names(&r), []string{})
+}
+
+// Guards against a token that reaches a server that was started again under its old name.
+func TestRestartIsAnotherLifetime(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	r.Apply(0, listed(host("i-1", 1, addressA), 1), false)
+	old := r.Hosts("standdesk")[0].Token
+	r.Apply(time.Second, listed(host("i-1", 2, addressA), 2), false)
+	is.Equal(len(r.Hosts("standdesk")), 1)
+	is.True(r.Hosts("standdesk")[0].Token != old)
+	is.True(r.Lifetime(old).Replaced)
+	r.Apply(2*time.Second, listed(host("i-1", 1, addressA), 1), false) // A late report of the first start.
+	is.Equal(r.Hosts("standdesk")[0].Started, int64(2))
+}
+
+// Guards against flows of a service that reach another service at an address that is used again.
+func TestAddressOfAnotherServiceEndsTheFormerServer(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	r.Apply(0, listed(host("i-1", 1, addressA), 1), false)
+	old := r.Hosts("standdesk")[0].Token
+	next := host("i-2", 2, addressA)
+	next.Service = "photointake"
+	r.Apply(time.Second, listed(next, 2), false)
+	is.Equal(names(&r), []string{})
+	is.True(r.Lifetime(old).Replaced)
+	is.Equal(r.Hosts("photointake")[0].Name, "i-2")
+	// Its entry may still be there, and be written again.
+	again := listed(host("i-1", 1, addressA), 3)
+	again.Created = 1
+	r.Apply(time.Second, again, false)
+	is.Equal(names(&r), []string{})
+}
+
+// Guards against a fresh picture with two entries for one address, in which the one that comes last wins.
+func TestOfTwoEntriesTheLaterOneHasTheAddress(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	next := host("i-0", 5, addressA) // Its clock was set back, so that it seems to have started first.
+	former := host("i-1", 9, addressA)
+	r.Replace(0, []Change{
+		{Name: "i-0", Host: next, Revision: 8, Created: 8}, {Name: "i-1", Host: former, Revision: 9, Created: 2},
+	}, 9, false)
+	is.Equal(names(&r), []string{"i-0"})
+}
+
+// Guards against a server that is not used after a restart with a clock that was set back.
+func TestRestartWithAnEarlierClock(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	r.Apply(0, listed(host("i-1", 5, addressA), 1), false)
+	r.Apply(0, listed(host("i-1", 3, addressA), 2), false)
+	is.Equal(r.Hosts("standdesk")[0].Started, int64(3))
+}
+
+// Guards against the loss of all servers when entries vanish while the store is away.
+func TestLapsedServerServesUntilItHadTimeToReturn(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	for i, a := range []netip.AddrPort{addressA, addressB} {
+		r.Apply(0, listed(host(fmt.Sprint("i-", i), 1, a), 1), false)
+	}
+	r.Replace(time.Second, nil, 9, true)
+	is.Equal(len(names(&r)), 2)
+	r.Apply(2*time.Second, listed(host("i-0", 1, addressA), 10), true)
+	r.Sweep(time.Second + DefaultLapse)
+	is.Equal(names(&r), []string{"i-0"})
+}
+
+// Guards against a server that crashed and is kept because of the rule for lapses.
+func TestMissingServerIsGoneWhileTheStoreIsWell(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	r.Apply(0, listed(host("i-0", 1, addressA), 1), false)
+	r.Replace(time.Second, nil, 9, false)
+	is.Equal(names(&r), []string{})
+}
+
+// Guards against an entry of another writer that names a server to use.
+func TestUnusableEntryNamesNoServer(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	r.Apply(0, listed(host("i-0", 1, addressA), 1), false)
+	r.Apply(0, Change{Name: "i-0", Revision: 2, Fault: "state"}, true)
+	is.Equal(names(&r), []string{})
+}
+
+// Guards against a configuration that reverts.
+func TestConfigurationNeverReverts(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	a := netip.MustParseAddrPort("198.18.0.1:443")
+	r.Apply(0, Change{Configuration: &Configuration{Version: 7, Routes: []Route{{Name: "new", Address: a}}}}, false)
+	r.Apply(0, Change{Configuration: &Configuration{Version: 6, Routes: []Route{{Name: "old", Address: a}}}}, false)
+	is.Equal(r.Version(), uint64(7))
+	is.Equal(r.Route(a).Name, "new")
+}
+
+// Guards against two servers that answer to one token.
+func TestTokenNamesOneLifetime(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	r.Apply(0, listed(host("i-0", 1, addressA), 1), false)
+	taken := NewToken("i-1", 1)
+	r.tokens[taken] = r.Hosts("standdesk")[0]
+	r.Apply(0, listed(host("i-1", 1, addressB), 2), false)
+	is.Equal(names(&r), []string{"i-0"}) // The second takes no flows, because its token is the first one's.
+}
+
+// Guards against sequences of reports, restarts, reuse of addresses and lapses that leave a server in use that is
+// leaving, replaced or gone, or that lose the token of one in use.
+func TestAnySequenceKeepsTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r Register
+		now, revision := time.Duration(0), uint64(0)
+		newest := map[string]Host{}
+		present, inStore := map[string]bool{}, map[string]bool{}
+		t.Repeat(map[string]func(*rapid.T){
+			"list": func(t *rapid.T) {
+				revision++
+				name := fmt.Sprint("i-", rapid.IntRange(0, 4).Draw(t, "name"))
+				h := host(name, rapid.Int64Range(1, 3).Draw(t, "started"),
+					netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, rapid.ByteRange(1, 3).Draw(t, "address")}), 80))
+				h.Leaving = rapid.Bool().Draw(t, "leaving")
+				r.Apply(now, listed(h, revision), false)
+				newest[name], present[name], inStore[name] = *h, true, true
+			},
+			"remove": func(t *rapid.T) {
+				revision++
+				name := fmt.Sprint("i-", rapid.IntRange(0, 4).Draw(t, "name"))
+				away := rapid.Bool().Draw(t, "away")
+				r.Apply(now, Change{Name: name, Revision: revision}, away)
+				if inStore[name] { // A second removal says nothing new about a server that has lapsed.
+					present[name], inStore[name] = away, false
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond
+				r.Sweep(now)
+			},
+			"": func(t *rapid.T) {
+				addresses := map[netip.AddrPort]bool{}
+				for _, l := range r.Hosts("standdesk") {
+					if l.Leaving || l.Replaced || l.State == Leaving || l.State == Gone {
+						t.Fatalf("%s takes flows in state %v, replaced %v", l.Name, l.State, l.Replaced)
+					}
+					if l.Started != newest[l.Name].Started || !present[l.Name] {
+						t.Fatalf("%s takes flows after its end", l.Name)
+					}
+					if addresses[l.Address] {
+						t.Fatalf("two servers at %v take flows", l.Address)
+					}
+					addresses[l.Address] = true
+					if r.Lifetime(l.Token) != l {
+						t.Fatalf("the token of %s is lost", l.Name)
+					}
+				}
+			},
+		})
+	})
+}
