Give entry VMs without the store the picture of another one

An entry VM that started while the store was away had no picture and stayed out of rotation. It asks other entry VMs now, at once and beside the store; later, when the store does not answer, before each new try.

--- a/cmd/masticspard/direct.go
+++ b/cmd/masticspard/direct.go
@@ -190,6 +190,8 @@
 		Read: client.Read, Watch: client.Watch, Configuration: client.Configuration, Now: d.timer.Now,
 		Wait:     min(time.Duration(d.settings.SettleTime)-time.Second, bound),
 		Collect:  time.Duration(collectShare * float64(bound)),
+		Peer:     d.fetchPicture,
+		Adopt:    d.adopt,
 		Replace:  d.replace,
 		Apply:    d.apply,
 		Reader:   d.reader,
@@ -252,6 +254,17 @@
 	}
 }
 
+// adopt puts the picture of another entry VM in force. It is not announced, because its age is not known.
+func (d *directDaemon) adopt(changes []register.Change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.learn(changes, func(now time.Duration) {
+		for _, c := range changes {
+			d.engine.Register.Apply(now, c, true)
+		}
+	})
+}
+
 // learn logs what is wrong with changes and what their application by put altered.
 func (d *directDaemon) learn(changes []register.Change, put func(now time.Duration)) {
 	for _, c := range changes {
--- a/cmd/masticspard/peers.go
+++ b/cmd/masticspard/peers.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"context"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -13,6 +16,8 @@
 	directsettings "github.com/masticspar/masticspar/internal/direct/settings"
 	"github.com/masticspar/masticspar/internal/fabric"
 	"github.com/masticspar/masticspar/internal/member"
+	"github.com/masticspar/masticspar/internal/picture"
+	"github.com/masticspar/masticspar/internal/replica"
 )
 
 // The first byte of a datagram between entry VMs is its kind.
@@ -21,6 +26,9 @@
 	kindAnnouncement
 )
 
+// maxSources is the number of entry VMs that are asked for a picture in one go.
+const maxSources = 3
+
 // sizeUnit is the size of a VM with size 1 in the messages of the membership protocol, which has whole numbers.
 const sizeUnit = 1000
 
@@ -114,13 +122,77 @@
 		defer d.mu.Unlock()
 		p.list.Resume(now)
 	})
+	stopPictures, err := picture.Serve(s.PeerAddress, d.picture)
+	if err != nil {
+		cancelPause()
+		cancel()
+		stop()
+		return nil, err
+	}
 	return func() {
+		stopPictures()
 		cancelPause()
 		cancel()
 		stop()
 	}, nil
 }
 
+// picture returns what this entry VM knows, for others.
+func (d *directDaemon) picture() *picture.Picture {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := &d.engine.Register
+	if d.replica == nil || !r.Complete() {
+		return nil
+	}
+	return &picture.Picture{Revision: d.replica.Revision(), Servers: r.Changes(), Configuration: r.Configuration()}
+}
+
+// fetchPicture asks other entry VMs, one after the other, for their picture.
+func (d *directDaemon) fetchPicture(ctx context.Context) (replica.Page, error) {
+	err := errors.New("no other entry VM is known")
+	for _, address := range d.pictureSources() {
+		var p *picture.Picture
+		if p, err = picture.Fetch(ctx, address); err != nil {
+			continue
+		}
+		d.log.Info("picture-of-peer", zap.Stringer("source", address), zap.Uint64("revision", p.Revision),
+			zap.Uint64("version", p.Configuration.Version), zap.Int("servers", len(p.Servers)))
+		return replica.Page{Changes: p.Changes(), Revision: p.Revision}, nil
+	}
+	return replica.Page{}, errors.Trace(err)
+}
+
+// pictureSources returns some entry VMs in random order, one of each availability zone at most and the own zone first.
+// A fresh process knows its contacts only.
+func (d *directDaemon) pictureSources() []netip.AddrPort {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.peers == nil {
+		return nil
+	}
+	members := d.peers.list.Alive()
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	zones := map[string]bool{}
+	var list []netip.AddrPort
+	for _, m := range members {
+		if m.Name == d.settings.Name || zones[m.Zone] {
+			continue
+		}
+		zones[m.Zone] = true
+		if m.Zone == d.settings.AvailabilityZone {
+			list = slices.Insert(list, 0, m.Control)
+		} else {
+			list = append(list, m.Control)
+		}
+	}
+	if len(list) == 0 {
+		list = slices.DeleteFunc(contacts(d.settings), func(a netip.AddrPort) bool { return a == d.settings.PeerAddress })
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	return list[:min(len(list), maxSources)]
+}
+
 func (d *directDaemon) peerDatagrams(batch []fabric.Datagram) {
 	if d.timer.Check() {
 		d.counters.Add("pauses-seen-by-peers", 1)
--- /dev/null
+++ b/internal/picture/picture.go
@@ -0,0 +1,126 @@
+package picture
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+	"gopkg.in/tomb.v2"
+
+	"github.com/masticspar/masticspar/internal/register"
+	"github.com/masticspar/masticspar/internal/strict"
+)
+
+const (
+	path = "/picture"
+	// timeout bounds a transfer; other entry VMs are milliseconds away.
+	timeout = 400 * time.Millisecond
+	// maxSize bounds a picture in bytes; the one of 5,700 servers has about 0.7 MB.
+	maxSize = 8 << 20
+	// maxEntries bounds the servers and routes of a picture.
+	maxEntries = 100_000
+)
+
+// Picture is the state of the store as an entry VM knows it.
+type Picture struct {
+	// Revision is the revision of the store up to which it is known.
+	Revision uint64 `cbor:"1,keyasint"`
+	// Servers has one change for each server.
+	Servers []register.Change `cbor:"2,keyasint"`
+	// Configuration is the one in force.
+	Configuration register.Configuration `cbor:"3,keyasint"`
+}
+
+var decoder = strict.NewDecoder(maxEntries, 8)
+
+// Decode returns the picture in b.
+func Decode(b []byte) (*Picture, error) {
+	p := &Picture{}
+	if err := decoder.Unmarshal(b, p); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if p.Revision == 0 || p.Configuration.Version == 0 {
+		return nil, errors.New("picture without a revision or a configuration")
+	}
+	for _, c := range p.Servers {
+		if c.Name == "" || c.Host == nil || c.Host.Name != c.Name || !c.Host.Address.IsValid() {
+			return nil, errors.Errorf("entry of server %q is incomplete", c.Name)
+		}
+	}
+	for _, r := range p.Configuration.Routes {
+		if len(r.Targets) == 0 {
+			return nil, errors.Errorf("route %q has no service", r.Name)
+		}
+	}
+	return p, nil
+}
+
+// Changes returns the picture as changes for a register.
+func (p *Picture) Changes() []register.Change {
+	return append(p.Servers, register.Change{Configuration: &p.Configuration})
+}
+
+// Serve answers other entry VMs on address until the returned function is called; current returns nil when there is no
+// picture yet.
+func Serve(address netip.AddrPort, current func() *Picture) (func(), error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, errors.Annotatef(err, "pictures on %s", address)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
+		p := current()
+		if p == nil {
+			http.Error(w, "no picture", http.StatusServiceUnavailable)
+			return
+		}
+		b, err := cbor.Marshal(p)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(b) // The other side notices what is missing.
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: timeout, WriteTimeout: timeout}
+	var tb tomb.Tomb
+	tb.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return func() {
+		_ = server.Close()
+		_ = tb.Wait()
+	}, nil
+}
+
+// Fetch returns the picture of the entry VM at address.
+func Fetch(ctx context.Context, address netip.AddrPort) (*Picture, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+path, nil)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	request.Close = true // Pictures are rare.
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("%s: status %d", address, response.StatusCode)
+	}
+	b, err := io.ReadAll(io.LimitReader(response.Body, maxSize))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	p, err := Decode(b)
+	return p, errors.Annotatef(err, "%s", address)
+}
--- /dev/null
+++ b/internal/picture/picture_test.go
@@ -0,0 +1,86 @@
+package picture
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"github.com/masticspar/masticspar/internal/register"
+)
+
+func sample() *Picture {
+	return &Picture{
+		Revision: 7,
+		Servers: []register.Change{{Name: "i-1", Revision: 5, Created: 3, Host: &register.Host{
+			Name: "i-1", Number: 1, Service: "standdesk", Address: netip.MustParseAddrPort("10.0.0.1:80"),
+			AvailabilityZone: "wa-perth", Slots: 2, Cold: time.Second, Started: 9,
+		}}},
+		Configuration: register.Configuration{Version: 4, Routes: []register.Route{{
+			Name: "job-board", Address: netip.MustParseAddrPort("198.18.0.1:443"), Idempotent: true, Goal: time.Second,
+			Targets: []register.Target{{Service: "standdesk", Weight: 1}},
+		}}},
+	}
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Guards against an entry VM that starts without the store and gets a picture that differs from the other's.
+func TestFetchReturnsWhatIsServed(t *testing.T) {
+	is := is.New(t)
+	a := freeAddress(t)
+	current := (*Picture)(nil)
+	stop, err := Serve(a, func() *Picture { return current })
+	is.NoErr(err)
+	defer stop()
+	_, err = Fetch(context.Background(), a)
+	is.True(err != nil) // No picture yet.
+	current = sample()
+	p, err := Fetch(context.Background(), a)
+	is.NoErr(err)
+	is.Equal(p, sample())
+	is.Equal(len(p.Changes()), 2)
+}
+
+// Guards against a picture that would crash the receiver or leave it without routes.
+func TestDecodeRefusesIncompletePictures(t *testing.T) {
+	for name, change := range map[string]func(*Picture){
+		"no revision":      func(p *Picture) { p.Revision = 0 },
+		"no configuration": func(p *Picture) { p.Configuration.Version = 0 },
+		"no server":        func(p *Picture) { p.Servers[0].Host = nil },
+		"other name":       func(p *Picture) { p.Servers[0].Host.Name = "i-2" },
+		"no address":       func(p *Picture) { p.Servers[0].Host.Address = netip.AddrPort{} },
+		"no service":       func(p *Picture) { p.Configuration.Routes[0].Targets = nil },
+	} {
+		p := sample()
+		change(p)
+		b, err := cbor.Marshal(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(b); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
+
+// Guards against a crash on bytes that are no picture.
+func FuzzDecode(f *testing.F) {
+	b, err := cbor.Marshal(sample())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(_ *testing.T, b []byte) { _, _ = Decode(b) })
+}
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -41,31 +41,33 @@
 // Target is a service that a route sends a part of its flows to.
 type Target struct {
 	// Service is the name of the service.
-	Service string
+	Service string `cbor:"1,keyasint"`
 	// Weight is the part relative to the other targets.
-	Weight float64
+	Weight float64 `cbor:"2,keyasint"`
 }
 
 // Route sends the flows of one address to services.
 type Route struct {
 	// Name is the name of the route.
-	Name string
+	Name string `cbor:"1,keyasint"`
 	// Address is the address and port that callers connect to.
-	Address netip.AddrPort
+	Address netip.AddrPort `cbor:"2,keyasint"`
 	// Targets are the services; at least one.
-	Targets []Target
+	Targets []Target `cbor:"3,keyasint"`
 	// Idempotent says that callers may repeat a request after any failure.
-	Idempotent bool
-	// Goal is the response time that callers expect, and Timeout the time after which they give up.
-	Goal, Timeout time.Duration
+	Idempotent bool `cbor:"4,keyasint,omitempty"`
+	// Goal is the response time that callers expect.
+	Goal time.Duration `cbor:"5,keyasint,omitempty"`
+	// Timeout is the time after which callers give up.
+	Timeout time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Configuration is one version of the operators' configuration.
 type Configuration struct {
 	// Version grows with each change.
-	Version uint64
+	Version uint64 `cbor:"1,keyasint"`
 	// Routes are all routes in force.
-	Routes []Route
+	Routes []Route `cbor:"2,keyasint"`
 }
 
 // Change is one change of the published state.
@@ -128,7 +130,7 @@
 	// Changed is called after each change of belief about a lifetime, with the former state; it may be nil.
 	Changed func(now time.Duration, l *Lifetime, before State)
 
-	version   uint64
+	config    Configuration
 	routes    map[netip.AddrPort]*Route
 	names     map[string]*Lifetime
 	tokens    map[uint32]*Lifetime
@@ -152,7 +154,22 @@
 }
 
 // Version returns the version of the configuration in force; 0 means none.
-func (r *Register) Version() uint64 { return r.version }
+func (r *Register) Version() uint64 { return r.config.Version }
+
+// Configuration returns the configuration in force; the caller must not change it.
+func (r *Register) Configuration() Configuration { return r.config }
+
+// Changes returns the picture as one change for each server that is listed.
+func (r *Register) Changes() []Change {
+	var list []Change
+	for name, l := range r.names {
+		if l.State == Ready || l.State == Leaving {
+			h := l.Host
+			list = append(list, Change{Name: name, Revision: r.revisions[name], Created: l.First, Host: &h})
+		}
+	}
+	return list
+}
 
 // Route returns the route of an address or nil.
 func (r *Register) Route(a netip.AddrPort) *Route { return r.routes[a] }
@@ -171,7 +188,7 @@
 }
 
 // Complete reports whether the picture can serve callers.
-func (r *Register) Complete() bool { return r.version > 0 && len(r.services) > 0 }
+func (r *Register) Complete() bool { return r.config.Version > 0 && len(r.services) > 0 }
 
 // Apply takes a change. Away says that the store was away within the last moments, so that a removed entry may only
 // have lapsed. It reports whether the change altered the picture.
@@ -256,10 +273,10 @@
 }
 
 func (r *Register) configure(c *Configuration) bool {
-	if c.Version <= r.version {
+	if c.Version <= r.config.Version {
 		return false
 	}
-	r.version = c.Version
+	r.config = *c
 	r.routes = make(map[netip.AddrPort]*Route, len(c.Routes))
 	for i := range c.Routes {
 		r.routes[c.Routes[i].Address] = &c.Routes[i]
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -51,10 +51,14 @@
 	Watch func(ctx context.Context, after uint64, wait time.Duration) (Page, error)
 	// Configuration returns the configuration alone.
 	Configuration func(ctx context.Context) (Page, error)
+	// Peer returns a complete reading of another process; it is asked when the store does not answer, and may be nil.
+	Peer func(ctx context.Context) (Page, error)
 	// Replace takes a complete reading at a revision; away says that the store was away within the last moments.
 	Replace func(changes []register.Change, revision uint64, away bool)
 	// Apply takes the changes after since up to revision, in order; there may be none.
 	Apply func(changes []register.Change, since, revision uint64, away bool)
+	// Adopt takes the reading of another process, which may be older than what is known.
+	Adopt func(changes []register.Change)
 	// Reader reports whether this process has to wait for changes itself; nil says that it has.
 	Reader func() bool
 	// Lost and Regained are called once for each outage.
@@ -157,7 +161,9 @@
 	page, err := r.Configuration(call)
 	if err != nil {
 		r.Again(true)
-		return r.failed(err)
+		pause := r.failed(err)
+		r.ask(ctx)
+		return pause
 	}
 	r.succeeded()
 	revision := r.Revision()
@@ -166,6 +172,20 @@
 }
 
 func (r *Replica) read(ctx context.Context) time.Duration {
+	if r.Revision() == 0 && r.Peer != nil {
+		// A fresh process must not wait for the timeout of the store.
+		asked, cancel := context.WithCancel(ctx)
+		done := make(chan struct{})
+		r.tb.Go(func() error {
+			defer close(done)
+			r.ask(asked)
+			return nil
+		})
+		defer func() {
+			cancel()
+			<-done
+		}()
+	}
 	var changes []register.Change
 	var revision uint64
 	for position := ""; ; {
@@ -174,7 +194,11 @@
 		page, err := r.Read(call, position)
 		cancel()
 		if err != nil {
-			return r.failed(err)
+			pause := r.failed(err)
+			if r.Revision() > 0 {
+				r.ask(ctx)
+			}
+			return pause
 		}
 		// The pages are no snapshot. Changes since the first one come again with the first wait.
 		if position == "" {
@@ -216,6 +240,30 @@
 	return r.Collect
 }
 
+// ask puts the reading of another process in force, while the store does not answer. Its changes are only added, because
+// they may be older than what is known.
+func (r *Replica) ask(ctx context.Context) {
+	if r.Peer == nil {
+		return
+	}
+	r.Counters.Add("peer-reads", 1)
+	page, err := r.Peer(ctx)
+	if err != nil {
+		r.Counters.Add("peer-retry-unreachable", 1)
+		return
+	}
+	if ctx.Err() != nil {
+		return // The store was faster.
+	}
+	r.Adopt(page.Changes)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.configuration = false
+	if !r.synced {
+		r.revision, r.synced = max(r.revision, page.Revision), true
+	}
+}
+
 func (r *Replica) failed(err error) time.Duration {
 	reason := "unreachable"
 	switch {
