Test the modes of failure of store, announcements and flow observation

The stand-in of the store has pages, watches, history that is dropped, refusals, silence and lost answers.

--- /dev/null
+++ b/internal/announce/group_test.go
@@ -0,0 +1,191 @@
+package announce
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/masticspar/masticspar/internal/member"
+	"github.com/masticspar/masticspar/internal/register"
+)
+
+// zone is an availability zone with a group in each entry VM; messages arrive at once.
+type zone struct {
+	now    time.Duration
+	groups map[string]*vm
+}
+
+type vm struct {
+	Group
+	revision, version uint64
+	actions           []Action
+	applied           []string
+	deaf              bool
+}
+
+func newZone(n int) *zone {
+	z := &zone{now: time.Second, groups: map[string]*vm{}}
+	var all []member.Member
+	for i := range n {
+		name := fmt.Sprint("entry-", i)
+		all = append(all, member.Member{Name: name, Zone: "wa-perth", Size: 1000})
+		z.groups[name] = &vm{Group: Group{Self: name, AvailabilityZone: "wa-perth", Send: z.send}}
+	}
+	all = append(all, member.Member{Name: "entry-far", Zone: "wa-south", Size: 100_000})
+	for _, g := range z.groups {
+		g.Members(all)
+	}
+	return z
+}
+
+func (z *zone) send(to member.Member, m *Message) {
+	b, err := Encode(m)
+	if err != nil {
+		panic(err)
+	}
+	if m, err = Decode(b); err != nil {
+		panic(err)
+	}
+	g := z.groups[to.Name]
+	if g.deaf {
+		return
+	}
+	a := g.Handle(z.now, m, g.revision, g.version)
+	g.actions = append(g.actions, a)
+	for _, c := range a.Apply {
+		g.applied = append(g.applied, c.Name)
+	}
+	g.revision = max(g.revision, a.Revision)
+}
+
+func (z *zone) wait(d time.Duration) {
+	for end := z.now + d; z.now < end; z.now += 100 * time.Millisecond {
+		for _, g := range z.groups {
+			g.Tick(z.now)
+		}
+	}
+}
+
+func (z *zone) readers() (list []*vm) {
+	for _, g := range z.groups {
+		if g.reader {
+			list = append(list, g)
+		}
+	}
+	return list
+}
+
+func (z *zone) other() *vm {
+	for _, g := range z.groups {
+		if !g.reader {
+			return g
+		}
+	}
+	return nil
+}
+
+func (g *vm) learn(now time.Duration, revision uint64, names ...string) {
+	var changes []register.Change
+	for i, n := range names {
+		changes = append(changes, register.Change{
+			Name: n, Revision: revision - uint64(len(names)-1-i), Host: &register.Host{
+				Name: n, Service: "standdesk-with-a-long-name", Address: netip.MustParseAddrPort("10.0.0.1:8080"),
+				AvailabilityZone: "wa-perth-with-a-long-name", Started: 1_700_000_000_000, Number: 1 << 60,
+			},
+		})
+	}
+	since := g.revision
+	g.revision = revision
+	g.Learned(now, since, revision, g.version, changes)
+}
+
+// Guards against a fleet in which everybody reads, or nobody.
+func TestFewReadAndTheOthersHear(t *testing.T) {
+	is := is.New(t)
+	z := newZone(10)
+	is.Equal(len(z.readers()), readers)
+	is.True(z.other().Reader(z.now)) // Nothing was heard yet.
+	for _, g := range z.readers() {
+		g.learn(z.now, 5)
+	}
+	z.wait(2 * time.Second)
+	is.True(!z.other().Reader(z.now))
+	is.True(z.readers()[0].Reader(z.now))
+}
+
+// Guards against a zone that knows nothing new after its readers failed or lost the store.
+func TestOthersReadWhenReadersAreSilent(t *testing.T) {
+	is := is.New(t)
+	z := newZone(5)
+	for _, g := range z.readers() {
+		g.learn(z.now, 5)
+	}
+	z.wait(time.Second)
+	for _, g := range z.readers() {
+		g.Lost()
+		g.batches = nil
+	}
+	z.wait(silence + 200*time.Millisecond)
+	is.True(z.other().Reader(z.now))
+}
+
+// Guards against changes that are lost with a datagram: they come again, in order, in datagrams that fit.
+func TestChangesAreRepeated(t *testing.T) {
+	is := is.New(t)
+	z := newZone(5)
+	g, other := z.readers()[0], z.other()
+	other.deaf = true
+	var names []string
+	for i := range 3*maxChanges + 1 {
+		names = append(names, fmt.Sprintf("i-%020d", i))
+	}
+	g.learn(z.now, 50, names...)
+	z.wait(200 * time.Millisecond)
+	is.Equal(len(other.applied), 0)
+	other.deaf = false
+	z.wait(period)
+	is.Equal(other.applied, names)
+	is.Equal(other.revision, uint64(50))
+}
+
+// Guards against an entry VM that goes on with a picture in which changes are missing.
+func TestLastingGapIsReadFromTheStore(t *testing.T) {
+	is := is.New(t)
+	z := newZone(5)
+	g, other := z.readers()[0], z.other()
+	g.revision = 40 // The other has nothing.
+	g.learn(z.now, 41, "i-1")
+	z.wait(gapBound + 2*period)
+	reads := 0
+	for _, a := range other.actions {
+		if a.Read {
+			reads++
+		}
+	}
+	is.True(reads >= 1)
+	is.Equal(len(other.applied), 0) // What follows a gap is not put in force.
+}
+
+// Guards against a configuration that reaches only the readers.
+func TestNewerConfigurationIsRead(t *testing.T) {
+	is := is.New(t)
+	z := newZone(5)
+	g, other := z.readers()[0], z.other()
+	g.version, other.version = 7, 6
+	g.learn(z.now, 5)
+	z.wait(period)
+	is.True(other.actions[0].ReadConfiguration)
+}
+
+// Guards against a crash on any datagram.
+func FuzzDecode(f *testing.F) {
+	b, err := Encode(&Message{From: "entry-1", Since: 1, Revision: 2, Changes: []register.Change{{Name: "i-1", Revision: 2}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(_ *testing.T, b []byte) { _, _ = Decode(b) })
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,194 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+
+	"github.com/masticspar/masticspar/internal/counter"
+	"github.com/masticspar/masticspar/internal/register"
+)
+
+// script is a store whose next answers are given; it blocks when there are none.
+type script struct {
+	reads, watches chan result
+	mu             sync.Mutex
+	log            []string
+	done           chan string
+	reader         bool
+}
+
+type result struct {
+	page Page
+	err  error
+}
+
+func newScript() *script {
+	return &script{reads: make(chan result, 10), watches: make(chan result, 10), done: make(chan string, 100), reader: true}
+}
+
+func answer(ctx context.Context, from chan result) (Page, error) {
+	select {
+	case r := <-from:
+		return r.page, r.err
+	case <-ctx.Done():
+		return Page{}, ctx.Err()
+	}
+}
+
+func (s *script) note(event string) {
+	s.mu.Lock()
+	s.log = append(s.log, event)
+	s.mu.Unlock()
+	s.done <- event
+}
+
+func (s *script) config() Config {
+	start := time.Now()
+	return Config{
+		Read:  func(ctx context.Context, _ string) (Page, error) { return answer(ctx, s.reads) },
+		Watch: func(ctx context.Context, _ uint64, _ time.Duration) (Page, error) { return answer(ctx, s.watches) },
+		Configuration: func(ctx context.Context) (Page, error) {
+			return answer(ctx, s.reads)
+		},
+		Replace: func(_ []register.Change, _ uint64, away bool) { s.note(event("replace", away)) },
+		Apply:   func(_ []register.Change, _, _ uint64, away bool) { s.note(event("apply", away)) },
+		Adopt:   func([]register.Change) { s.note("adopt") },
+		Reader: func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.reader
+		},
+		Lost: func(error) { s.note("lost") }, Regained: func(time.Duration) { s.note("regained") },
+		Now:  func() time.Duration { return time.Since(start) },
+		Wait: time.Minute, Counters: counter.New(),
+	}
+}
+
+func event(name string, away bool) string {
+	if away {
+		return name + " away"
+	}
+	return name
+}
+
+func (s *script) expect(t *testing.T, want ...string) {
+	t.Helper()
+	for _, w := range want {
+		select {
+		case got := <-s.done:
+			if got != w {
+				t.Fatalf("got %q, want %q; all: %v", got, w, s.log)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("%q did not come; all: %v", w, s.log)
+		}
+	}
+}
+
+// Guards against a replica that does not read again when the store has dropped its history, and against changes in
+// between that are lost.
+func TestForgottenHistoryIsReadAgain(t *testing.T) {
+	s := newScript()
+	r, stop := New(s.config())
+	defer stop()
+	s.reads <- result{page: Page{Revision: 5}}
+	s.expect(t, "replace")
+	s.watches <- result{err: ErrForgotten}
+	s.reads <- result{page: Page{Revision: 9}}
+	s.expect(t, "replace")
+	if r.Revision() != 9 {
+		t.Fatalf("revision %d", r.Revision())
+	}
+}
+
+// Guards against servers that are taken for gone because the store was away, and against an outage that is told twice.
+func TestOutageIsToldOnce(t *testing.T) {
+	is := is.New(t)
+	s := newScript()
+	c := s.config()
+	_, stop := New(c)
+	defer stop()
+	s.reads <- result{page: Page{Revision: 5}}
+	s.expect(t, "replace")
+	s.watches <- result{err: ErrRefused}
+	s.watches <- result{err: errors.New("reset")}
+	s.watches <- result{page: Page{Revision: 6, Changes: []register.Change{{Name: "i-1"}}}}
+	s.expect(t, "lost", "regained", "apply away")
+	is.Equal(c.Counters.Values()["store-retry-refused"], int64(1))
+	is.Equal(c.Counters.Values()["store-retry-unreachable"], int64(1))
+}
+
+// Guards against a fresh process that waits for the timeout of the store although another process has a picture.
+func TestFreshProcessAsksPeersAtOnce(t *testing.T) {
+	s := newScript()
+	c := s.config()
+	c.Peer = func(context.Context) (Page, error) { return Page{Revision: 4}, nil }
+	_, stop := New(c)
+	defer stop()
+	s.expect(t, "adopt") // The store has not answered yet.
+	s.reads <- result{page: Page{Revision: 5}}
+	s.expect(t, "replace")
+}
+
+// Guards against an old picture of a peer that replaces what the store has told.
+func TestStoreIsFasterThanPeers(t *testing.T) {
+	s := newScript()
+	c := s.config()
+	asked := make(chan struct{})
+	c.Peer = func(ctx context.Context) (Page, error) {
+		close(asked)
+		<-ctx.Done()
+		return Page{Revision: 4}, nil
+	}
+	r, stop := New(c)
+	defer stop()
+	<-asked
+	s.reads <- result{page: Page{Revision: 5}}
+	s.expect(t, "replace")
+	s.watches <- result{page: Page{Revision: 6}}
+	s.expect(t, "apply")
+	if r.Revision() != 6 {
+		t.Fatalf("revision %d", r.Revision())
+	}
+}
+
+// Guards against calls to the store by a process that hears announcements, and against one that does not take over.
+func TestOnlyReadersWait(t *testing.T) {
+	s := newScript()
+	s.reader = false
+	r, stop := New(s.config())
+	defer stop()
+	s.reads <- result{page: Page{Revision: 5}}
+	s.expect(t, "replace")
+	s.watches <- result{page: Page{Revision: 8}}
+	r.Advance(7)
+	time.Sleep(3 * idlePause)
+	if len(s.watches) == 0 {
+		t.Fatal("a process that is no reader waited for changes")
+	}
+	s.mu.Lock()
+	s.reader = true
+	s.mu.Unlock()
+	s.expect(t, "apply")
+	if r.Revision() != 8 {
+		t.Fatalf("revision %d", r.Revision())
+	}
+}
+
+// Guards against a new configuration that another process announced and that is not read.
+func TestConfigurationIsReadOnRequest(t *testing.T) {
+	s := newScript()
+	s.reader = false
+	r, stop := New(s.config())
+	defer stop()
+	s.reads <- result{page: Page{Revision: 5}}
+	s.expect(t, "replace")
+	r.Again(true)
+	s.reads <- result{page: Page{Changes: []register.Change{{Configuration: &register.Configuration{Version: 2}}}}}
+	s.expect(t, "apply")
+}
--- /dev/null
+++ b/internal/stream/writer_test.go
@@ -0,0 +1,73 @@
+package stream
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// stuck is a file that takes nothing until it is released.
+type stuck struct {
+	mu      sync.Mutex
+	buffer  bytes.Buffer
+	release chan struct{}
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buffer.Write(b)
+}
+
+// Guards against packets that wait for whoever reads the log, and against lines that are dropped without a word.
+func TestStuckReaderDoesNotBlock(t *testing.T) {
+	is := is.New(t)
+	out := &stuck{release: make(chan struct{})}
+	w, stop := New(out, 1e6)
+	for range 3 * queueLines {
+		_, err := w.Write([]byte("line\n"))
+		is.NoErr(err)
+	}
+	is.True(w.Dropped.Load() >= queueLines)
+	close(out.release)
+	stop()
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	is.True(strings.Contains(out.buffer.String(), "log-lines-dropped"))
+}
+
+// Guards against a stop that waits for a reader that is gone.
+func TestStopWithAStuckReader(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	w, stop := New(out, 0)
+	_, _ = w.Write([]byte("line\n"))
+	done := make(chan struct{})
+	go func() {
+		stop()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("stop did not return")
+	}
+	close(out.release)
+}
+
+// Guards against a log that grows with the load.
+func TestRateIsBounded(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	w, stop := New(&out, 10)
+	for range 200 {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	stop()
+	is.True(strings.Count(out.String(), "line\n") <= 10*burstSeconds+1)
+	is.True(w.Dropped.Load() > 0)
+}
--- /dev/null
+++ b/internal/track/table_test.go
@@ -0,0 +1,156 @@
+package track
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/masticspar/masticspar/internal/signal"
+)
+
+var key = Key{Caller: netip.MustParseAddrPort("100.64.0.1:4000"), Service: netip.MustParseAddrPort("198.18.0.1:443")}
+
+type log struct {
+	Table
+	events []signal.Event
+}
+
+func newLog() *log {
+	l := &log{}
+	l.Observe = func(_ time.Duration, e signal.Event) { l.events = append(l.events, e) }
+	return l
+}
+
+func (l *log) kinds() (list []signal.Kind) {
+	for _, e := range l.events {
+		list = append(list, e.Kind)
+	}
+	l.events = nil
+	return list
+}
+
+func packet(sequence, acknowledged uint32, length int) *Packet {
+	return &Packet{Key: key, Token: 1, ACK: true, Sequence: sequence, Acknowledged: acknowledged, Length: length}
+}
+
+const ms = time.Millisecond
+
+// Guards against answers that are missed or whose time is wrong.
+func TestRequestAndAnswer(t *testing.T) {
+	is := is.New(t)
+	l := newLog()
+	l.Open(0, key, 1)
+	l.Packet(2*ms, packet(100, 500, 0), 1)
+	l.Packet(3*ms, packet(100, 500, 200), 1)
+	l.Packet(4*ms, packet(300, 500, 50), 1) // The rest of the request.
+	l.Packet(34*ms, packet(350, 1700, 0), 1)
+	is.Equal(l.events[2].Kind, signal.Requested)
+	is.Equal(l.events[3], signal.Event{Kind: signal.Answered, Host: 1, Elapsed: 30 * ms})
+	is.Equal(l.kinds(), []signal.Kind{signal.Opened, signal.Accepted, signal.Requested, signal.Answered})
+}
+
+// Guards against an answer time that includes the pause of a caller, who acknowledged with the next request only.
+func TestAnswerAcknowledgedWithTheNextRequest(t *testing.T) {
+	is := is.New(t)
+	l := newLog()
+	l.Packet(0, packet(100, 500, 0), 1)
+	l.Packet(0, packet(100, 500, 200), 1)
+	l.kinds()
+	l.Packet(900*ms, packet(300, 600, 200), 1)
+	is.Equal(l.events[0], signal.Event{Kind: signal.Answered, Host: 1})
+	is.Equal(l.kinds(), []signal.Kind{signal.Answered, signal.Requested})
+}
+
+// Guards against data that was merely overtaken on its way and makes a server suspected.
+func TestOvertakenDataIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	l := newLog()
+	l.Packet(0, packet(100, 500, 0), 1)
+	l.Packet(0, packet(1300, 500, 1200), 1)
+	l.kinds()
+	is.True(!l.Packet(1*ms, packet(100, 500, 1200), 1))
+	is.Equal(len(l.kinds()), 0)
+	is.True(l.Packet(201*ms, packet(100, 500, 1200), 1))
+	is.Equal(l.kinds(), []signal.Kind{signal.Repeated})
+}
+
+// Guards against a server that refuses flows and is not noticed, as its resets do not come by here.
+func TestSYNWithoutAFollowerIsRefused(t *testing.T) {
+	is := is.New(t)
+	l := newLog()
+	l.Open(0, key, 1)
+	l.Sweep(200 * ms)
+	is.Equal(l.kinds(), []signal.Kind{signal.Opened})
+	l.Sweep(400 * ms)
+	is.Equal(l.kinds(), []signal.Kind{signal.Refused, signal.Closed})
+	is.Equal(l.Len(), 0)
+}
+
+// Guards against a silent server that counts as one that refuses.
+func TestCopyOfASYNMeansSilence(t *testing.T) {
+	is := is.New(t)
+	l := newLog()
+	l.Open(0, key, 1)
+	l.Open(200*ms, key, 2)
+	is.Equal(l.events[1], signal.Event{Kind: signal.Unanswered, Host: 1, Elapsed: 200 * ms})
+	l.kinds()
+	l.Sweep(1800 * ms)
+	is.Equal(l.kinds(), []signal.Kind{signal.Unanswered, signal.Closed})
+}
+
+// Guards against requests that count as outstanding for ever after their flow went to another entry VM.
+func TestSilentRequestIsAbandoned(t *testing.T) {
+	is := is.New(t)
+	l := newLog()
+	l.Packet(0, packet(100, 500, 0), 1)
+	l.Packet(0, packet(100, 500, 200), 1)
+	l.kinds()
+	l.Sweep(answerBound)
+	is.Equal(l.kinds(), []signal.Kind{signal.Abandoned})
+	l.Sweep(idleBound)
+	is.Equal(l.kinds(), []signal.Kind{signal.Closed})
+}
+
+// Guards against memory that grows without a bound.
+func TestFullTable(t *testing.T) {
+	is := is.New(t)
+	l := newLog()
+	l.Capacity = 1
+	is.True(l.Open(0, key, 1) != nil)
+	other := key
+	other.Caller = netip.MustParseAddrPort("100.64.0.2:4000")
+	is.Equal(l.Open(0, other, 1), nil)
+	p := packet(1, 1, 10)
+	p.Key = other
+	is.True(!l.Packet(0, p, 1))
+	is.Equal(l.Len(), 1)
+}
+
+// Guards against counts that drift: each flow is opened and closed once, each request asked and ended once.
+func TestEventsComeInPairs(t *testing.T) {
+	is := is.New(t)
+	count := map[signal.Kind]int{}
+	l := &Table{Observe: func(_ time.Duration, e signal.Event) { count[e.Kind]++ }}
+	now := time.Duration(0)
+	for i := range 200 {
+		k := key
+		k.Caller = netip.AddrPortFrom(key.Caller.Addr(), uint16(i))
+		now += 10 * ms
+		if i%3 > 0 {
+			l.Open(now, k, uint32(i%4))
+		}
+		for j := range i % 5 {
+			p := packet(uint32(100*j), uint32(500*(j/2)), 100)
+			p.Key, p.FIN = k, i%7 == 0 && j == 3
+			l.Packet(now+time.Duration(j)*ms, p, uint32(i%4+j/3))
+		}
+		l.Sweep(now)
+	}
+	l.Sweep(now + time.Minute)
+	l.Sweep(now + 2*time.Minute)
+	is.Equal(count[signal.Opened]+count[signal.Joined], count[signal.Closed])
+	is.Equal(count[signal.Requested], count[signal.Answered]+count[signal.Abandoned])
+	is.Equal(l.Len(), 0)
+}
