--- a/internal/direct/engine_test.go
+++ b/internal/direct/engine_test.go
@@ -138,7 +138,7 @@
 	is := is.New(t)
 	s := newSite(t, 1)
 	c := s.caller(1)
-	c.Key.Service = netip.MustParseAddrPort("198.18.0.9:443")
+	c.Service = netip.MustParseAddrPort("198.18.0.9:443")
 	is.Equal(c.syn(), Verdict{Action: Reset, Reason: NoRoute})
 }
 
--- a/internal/picture/picture.go
+++ b/internal/picture/picture.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("%s: status %d", address, response.StatusCode)
 	}
--- a/internal/picture/picture_test.go
+++ b/internal/picture/picture_test.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
--- a/internal/track/table.go
+++ b/internal/track/table.go
@@ -83,17 +83,18 @@
 // Open notes that the SYN of a flow was forwarded to a host. It returns nil when the table is full.
 func (t *Table) Open(now time.Duration, k Key, host uint32) *Flow {
 	f := t.flows[k]
-	if f == nil {
+	switch {
+	case f == nil:
 		if f = t.add(k); f == nil {
 			return nil
 		}
-	} else if f.Host != host {
+	case f.Host == host:
+		f.seen, f.Sent = now, now
+		return f
+	default:
 		t.event(now, signal.Unanswered, f.Host, now-f.opened)
 		t.event(now, signal.Closed, f.Host, 0)
 		f.Tried = append(f.Tried, f.Host)
-	} else {
-		f.seen, f.Sent = now, now
-		return f
 	}
 	f.Host, f.opened, f.Sent, f.seen = host, now, now, now
 	t.event(now, signal.Opened, host, 0)
