--- /dev/null
+++ b/cmd/masticspard/direct_test.go
@@ -0,0 +1,241 @@
+package main
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	directsettings "github.com/masticspar/masticspar/internal/direct/settings"
+	standin "github.com/masticspar/masticspar/platform/standin/store"
+)
+
+const (
+	directDeadline = 20 * time.Second
+	directRoute    = "198.18.0.1:443"
+	directConfig   = `{"version":%d,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","kind":"idempotent",` +
+		`"timeout_ms":1000,"target_latency_ms":150,"service":"standdesk"}]}`
+	directServer = `{"service":"standdesk","address":"%s","zone":"wa-perth","version":"v1","slots":2,"state":"%s",` +
+		`"cold_remaining_ms":0,"sequence":1,"born":%d}`
+)
+
+// directSite has a store, servers and callers as sockets on loopback addresses.
+type directSite struct {
+	*testing.T
+	store   *standin.Server
+	address netip.AddrPort
+	caller  *net.UDPConn
+	hosts   map[string]*net.UDPConn
+}
+
+func newDirectSite(t *testing.T, hosts ...string) *directSite {
+	s := &directSite{T: t, store: &standin.Server{}, hosts: map[string]*net.UDPConn{}}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.Close)
+	s.address = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	s.caller = s.udp("127.0.0.1:0")
+	s.store.Put("op/config", fmt.Appendf(nil, directConfig, 1))
+	for _, name := range hosts {
+		s.hosts[name] = s.udp("127.0.0.1:0")
+		s.list(name, "ready")
+	}
+	return s
+}
+
+func (s *directSite) udp(address string) *net.UDPConn {
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(address)))
+	must(s, err)
+	s.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func (s *directSite) list(name, state string) {
+	s.store.Put("servers/"+name, fmt.Appendf(nil, directServer, s.hosts[name].LocalAddr(), state, 1))
+}
+
+func (s *directSite) free(network string) netip.AddrPort {
+	if network == "udp" {
+		c := s.udp("127.0.0.1:0")
+		defer func() { _ = c.Close() }()
+		return c.LocalAddr().(*net.UDPAddr).AddrPort()
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(s, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (s *directSite) settings(name string, contacts ...netip.AddrPort) *directsettings.Settings {
+	set := &directsettings.Settings{}
+	set.SetDefaults()
+	set.Forwarding, set.Name, set.Region, set.AvailabilityZone = directsettings.Forwarding, name, "wa", "wa-perth"
+	set.DataAddress, set.OperatorAddress = s.free("udp"), s.free("tcp")
+	set.MetricsAddress = set.OperatorAddress
+	set.PeerAddress, set.Contacts = s.free("tcp"), contacts
+	set.Store, set.CallerPort = s.address, s.caller.LocalAddr().(*net.UDPAddr).Port
+	must(s, set.Validate("test"))
+	return set
+}
+
+func (s *directSite) start(set *directsettings.Settings) (*directDaemon, *observer.ObservedLogs) {
+	core, logs := observer.New(zap.InfoLevel)
+	d, stop, err := newDirectDaemon(set, zap.New(core))
+	must(s, err)
+	s.Cleanup(stop)
+	return d, logs
+}
+
+func (s *directSite) until(what string, f func() bool) {
+	s.Helper()
+	for end := time.Now().Add(directDeadline); !f(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.Fatalf("%s did not happen", what)
+		}
+	}
+}
+
+func readyOf(set *directsettings.Settings) func() bool {
+	return func() bool {
+		r, err := http.Get("http://" + set.OperatorAddress.String() + "/ready")
+		if err != nil {
+			return false
+		}
+		_ = r.Body.Close()
+		return r.StatusCode == http.StatusOK
+	}
+}
+
+// send sends a packet of a caller from the given port.
+func (s *directSite) send(to netip.AddrPort, port uint16, flags byte, token uint32) {
+	b := make([]byte, 32)
+	binary.BigEndian.PutUint32(b[12:], token)
+	b[18] = flags
+	binary.BigEndian.PutUint16(b[20:], port)
+	copy(b[22:], []byte{127, 0, 0, 1})
+	service := netip.MustParseAddrPort(directRoute)
+	address := service.Addr().As4()
+	binary.BigEndian.PutUint16(b[26:], service.Port())
+	copy(b[28:], address[:])
+	_, err := s.caller.WriteToUDPAddrPort(b, to)
+	must(s, err)
+}
+
+// receive returns the packet that a server got, without its prefix, or nil when none came.
+func (s *directSite) receive(c *net.UDPConn, wait time.Duration) []byte {
+	b := make([]byte, 2048)
+	must(s, c.SetReadDeadline(time.Now().Add(wait)))
+	n, err := c.Read(b)
+	if err != nil {
+		return nil
+	}
+	return b[:n]
+}
+
+const (
+	synFlag = 8
+	ackFlag = 2
+)
+
+// Guards against a path that does not work as a whole: two daemons, one of which has never seen the flow, a server that
+// leaves, and a route that is not there.
+func TestDirectPath(t *testing.T) {
+	is := is.New(t)
+	s := newDirectSite(t, "i-1", "i-2")
+	first, second := s.settings("entry-1"), s.settings("entry-2")
+	s.start(first)
+	s.start(second)
+	s.until("ready", func() bool { return readyOf(first)() && readyOf(second)() })
+
+	s.send(first.DataAddress, 4000, synFlag, 0)
+	var name string
+	var got []byte
+	s.until("SYN at a server", func() bool {
+		for n, c := range s.hosts {
+			if b := s.receive(c, 20*time.Millisecond); b != nil {
+				name, got = n, b
+			}
+		}
+		return got != nil
+	})
+	is.Equal(binary.BigEndian.Uint64(got), uint64(name[2]-'0'))
+	token := binary.BigEndian.Uint32(got[8+12:])
+	s.list(name, "draining")
+	s.send(second.DataAddress, 4000, ackFlag, token)
+	got = s.receive(s.hosts[name], directDeadline)
+	is.Equal(binary.BigEndian.Uint32(got[8+12:]), token)
+
+	s.store.Put("op/config", []byte(`{"version":2,"routes":[]}`))
+	s.until("reset without a route", func() bool {
+		s.send(first.DataAddress, 4001, synFlag, 0)
+		b := s.receive(s.caller, 50*time.Millisecond)
+		return b != nil && b[18] == 128 && len(b) == 32
+	})
+}
+
+// Guards against a daemon that cannot start while the store is away, although another one runs.
+func TestDirectStartWithoutTheStore(t *testing.T) {
+	s := newDirectSite(t, "i-1")
+	first := s.settings("entry-1")
+	s.start(first)
+	s.until("ready", readyOf(first))
+	s.store.Misbehave(standin.Faults{Silent: true})
+	second := s.settings("entry-2", first.PeerAddress)
+	// Contacts have the port of the own peer address on the platform, so both daemons need addresses of their own.
+	second.PeerAddress = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), first.PeerAddress.Port())
+	s.start(second)
+	s.until("ready with the picture of the other", readyOf(second))
+}
+
+// Guards against wrong settings that take the place of good ones, and against a signal that ends the process.
+func TestDirectReload(t *testing.T) {
+	is := is.New(t)
+	s := newDirectSite(t, "i-1")
+	d, logs := s.start(s.settings("entry-1"))
+	file := filepath.Join(t.TempDir(), "settings.json")
+	must(t, os.WriteFile(file, []byte(`{"forwarding":"token"}`), 0o600))
+	signals := make(chan os.Signal, 1)
+	defer d.reloadOn(signals, file)()
+	signals <- os.Interrupt
+	s.until("refusal", func() bool { return logs.FilterMessage("reload-refused").Len() == 1 })
+	is.Equal(d.stopTimeout, 6*time.Second)
+}
+
+// Guards against a stop that cuts callers off: the daemon is not ready at once and forwards until nothing comes.
+func TestDirectDrainForwards(t *testing.T) {
+	is := is.New(t)
+	s := newDirectSite(t, "i-1")
+	set := s.settings("entry-1")
+	d, _ := s.start(set)
+	s.until("ready", readyOf(set))
+	signals, done := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { done <- d.drain(signals) }()
+	s.until("not ready", func() bool { return !readyOf(set)() })
+	s.send(set.DataAddress, 4000, synFlag, 0)
+	is.True(s.receive(s.hosts["i-1"], directDeadline) != nil)
+	select {
+	case err := <-done:
+		is.NoErr(err)
+	case <-time.After(directDeadline):
+		t.Fatal("the drain did not end")
+	}
+}
+
+// Guards against a template and settings that do not fit each other.
+func TestDirectSettingsErrors(t *testing.T) {
+	is := is.New(t)
+	_, err := directsettings.Decode("node.json", []byte(`{"forwarding":"token","name":"e"}`))
+	is.Equal(err.Error(), `node.json: region: must be a name of 1 to 63 letters, digits, '.', '_' or '-', got ""`)
+	_, err = directsettings.Decode("node.json", []byte(`{"forwarding":"token","placement":5}`))
+	is.True(err != nil)
+}
