Reset requests to a dead server at their first packet

A server that was found dead counted as unknown again 2 s after the last repeat, and each further flow to it waited 200 ms for its own repeat. It stays dead until it answers now; one packet a second tests it.

--- a/internal/direct/engine.go
+++ b/internal/direct/engine.go
@@ -92,8 +92,8 @@
 		e.Flows.Forget(now, p.Key)
 		return Verdict{Action: Reset, Host: l, Reason: HostReplaced}
 	}
-	// Callers repeat only idempotent requests on their own, so a reset helps no other flow.
-	if repeated && e.Placement.Dead(now, l.Token) {
+	// A caller may try an idempotent request again. Others wait for the answer that may still come.
+	if p.Length > 0 && e.Placement.Dead(now, l.Token) && (repeated || !e.Placement.Test(now, l.Token)) {
 		if r := e.Register.Route(p.Service); r != nil && r.Idempotent {
 			e.Flows.Forget(now, p.Key)
 			return Verdict{Action: Reset, Host: l, Reason: HostDead}
--- a/internal/direct/engine_test.go
+++ b/internal/direct/engine_test.go
@@ -283,6 +283,45 @@
 	}
 }
 
+// Guards against callers that wait for the first copy of a request to a server that is known to be dead, and against a
+// server that stays dead after it answers again.
+func TestDeadServerUntilItAnswers(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2)
+	var flows []*caller
+	var live *caller
+	for i := byte(0); len(flows) < 6 || live == nil; i++ {
+		c := s.caller(i)
+		if c.open().Host.Name == "i-0" {
+			flows = append(flows, c)
+		} else {
+			live = c
+		}
+	}
+	for range 3 {
+		for _, c := range flows[:3] {
+			c.send(100)
+			c.sequence -= 100
+		}
+		s.wait(200 * time.Millisecond)
+		live.request(10 * time.Millisecond)
+	}
+	is.Equal(flows[0].send(100).Reason, HostDead)
+	is.Equal(flows[3].send(100).Reason, HostDead) // Its first packet.
+	s.wait(trialPeriod)
+	is.Equal(flows[4].send(100).Action, Forward) // One packet a second tests the server.
+	is.Equal(flows[5].send(100).Action, Reset)
+	s.now += 20 * time.Millisecond
+	flows[4].answered += 500
+	flows[4].send(0)
+	is.Equal(s.caller(200).open().Action, Forward)
+	flows[4].send(100)
+	is.Equal(flows[4].send(100).Action, Forward)
+}
+
+// trialPeriod is the time between two tests of a silent server.
+const trialPeriod = time.Second
+
 // Guards against a flow that waits for a server whose address another one has.
 func TestFlowOfAReplacedServerIsReset(t *testing.T) {
 	is := is.New(t)
--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -87,6 +87,8 @@
 	repeated    time.Duration // time of the last of them
 	refusals    int           // handshakes that were refused since then
 	trial       time.Duration // time of the last trial flow
+	dead        bool
+	tested      time.Duration // time of the last packet that went to it while it was dead
 }
 
 // zone is what is known of an availability zone.
@@ -219,18 +221,32 @@
 	return false
 }
 
-// Dead reports whether a server is silent for so long, while others answer, that its flows are lost.
+// Dead reports whether a server was silent for so long, while others answered, that its flows are lost. It stays dead
+// until any sign of life.
 func (m *Model) Dead(now time.Duration, token uint32) bool {
 	l := m.loads[token]
-	if l == nil || l.repeats < deadRepeats || now-l.alive < deadSilence || now-l.repeated > repeatMemory {
+	if l == nil {
 		return false
 	}
-	for other, o := range m.loads {
-		if other != token && o.alive > 0 && now-o.alive < aliveWithin {
-			return true
+	if !l.dead && l.repeats >= deadRepeats && now-l.alive >= deadSilence && now-l.repeated <= repeatMemory {
+		for other, o := range m.loads {
+			if other != token && o.alive > 0 && now-o.alive < aliveWithin {
+				l.dead, l.tested = true, now
+				break
+			}
 		}
 	}
-	return false
+	return l.dead
+}
+
+// Test reports whether a packet of an open flow is to go to a dead server, to see whether it answers again.
+func (m *Model) Test(now time.Duration, token uint32) bool {
+	l := m.loads[token]
+	if l == nil || now-l.tested < trialPeriod {
+		return false
+	}
+	l.tested = now
+	return true
 }
 
 // Load is what is known of one server, for logs and status.
@@ -270,7 +286,7 @@
 	if l.suspected() && m.Silent != nil {
 		m.Silent(now, token, false)
 	}
-	l.alive, l.repeats, l.refusals = now, 0, 0
+	l.alive, l.repeats, l.refusals, l.dead = now, 0, 0, false
 	if l.zone != nil {
 		l.zone.alive = now
 	}
--- a/internal/track/table.go
+++ b/internal/track/table.go
@@ -162,15 +162,6 @@
 	return false
 }
 
-// Stalled calls f for each flow to host with a request outstanding, with the number that its caller expects next.
-func (t *Table) Stalled(host uint32, f func(k Key, acknowledged uint32)) {
-	for k, flow := range t.flows {
-		if flow.Host == host && flow.outstanding && !flow.closed {
-			f(k, flow.acknowledged)
-		}
-	}
-}
-
 // Forget drops a flow, such as one that was reset.
 func (t *Table) Forget(now time.Duration, k Key) {
 	if f := t.flows[k]; f != nil {
