Soak daemons as processes with faults from outside

cmd/soak runs masticspard as processes on loopback addresses between stand-ins of store, servers and callers. A seeded plan kills, rolls, pauses and signals them, disturbs their way to the store through a proxy, drops packets to servers one way, and has the store fail, servers leave, crash and give their address to the other service, and routes come and go. It checks what callers and servers see.

--- /dev/null
+++ b/cmd/soak/site.go
@@ -0,0 +1,383 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+	"gopkg.in/tomb.v2"
+
+	"github.com/masticspar/masticspar/internal/register"
+	"github.com/masticspar/masticspar/internal/track"
+	"github.com/masticspar/masticspar/platform/standin/backend"
+	"github.com/masticspar/masticspar/platform/standin/caller"
+	"github.com/masticspar/masticspar/platform/standin/store"
+	"github.com/masticspar/masticspar/platform/standin/wire"
+)
+
+// Networks of the parts; an address is 127.SITE.NETWORK.NUMBER.
+const (
+	daemonNet byte = 1
+	callerNet byte = 2
+	serverNet byte = 3
+	proxyNet  byte = 4
+)
+
+// Ports are the same at all addresses.
+const (
+	dataPort     = 7101
+	operatorPort = 7102
+	peerPort     = 7103
+	storePort    = 7104
+	serverPort   = 7105
+)
+
+const (
+	checkPeriod   = 500 * time.Millisecond // between two readiness checks of the router
+	misses        = 2                      // failed checks that take a daemon out of rotation
+	readyDeadline = 20 * time.Second
+	workTime      = 15 * time.Millisecond
+)
+
+var services = []string{"standdesk", "photointake"}
+
+// site is a store, servers, callers, a router and the processes of the daemons.
+type site struct {
+	options
+	net     byte // second byte of all addresses
+	tb      tomb.Tomb
+	check   *checks
+	store   *store.Server
+	daemons []*daemon
+	faults  map[string]int
+
+	mu      sync.Mutex
+	servers map[string]*server // by name
+	cuts    map[[2]netip.Addr]bool
+	config  register.Configuration
+	number  int
+}
+
+type server struct {
+	backend.Server
+	stop func()
+}
+
+type daemon struct {
+	name     string
+	address  netip.Addr
+	zone     string
+	settings string
+	proxy    *proxy
+	log      *os.File
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	exited  chan struct{}
+	misses  int
+	ready   bool
+}
+
+func newSite(o options) (*site, func(), error) {
+	s := &site{
+		options: o, net: byte(10 + o.Seed%200), check: newChecks(), store: &store.Server{}, faults: map[string]int{},
+		servers: map[string]*server{}, cuts: map[[2]netip.Addr]bool{},
+	}
+	s.check.holder = s.holder
+	var cleanups []func()
+	stop := func() {
+		for i := len(cleanups) - 1; i >= 0; i-- {
+			cleanups[i]()
+		}
+	}
+	for _, step := range []func() (func(), error){s.startStore, s.startServers, s.startDaemons, s.startRouter} {
+		cleanup, err := step()
+		if cleanup != nil {
+			cleanups = append(cleanups, cleanup)
+		}
+		if err != nil {
+			stop()
+			return nil, nil, err
+		}
+	}
+	return s, stop, nil
+}
+
+func (s *site) ip(network byte, i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, s.net, network, byte(i + 1)})
+}
+
+func (s *site) startStore() (func(), error) {
+	l, err := net.Listen("tcp", netip.AddrPortFrom(s.ip(proxyNet, 200), storePort).String())
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	server := &http.Server{Handler: s.store}
+	s.tb.Go(func() error {
+		_ = server.Serve(l) // Ends with Close.
+		return nil
+	})
+	s.config.Version = 1
+	for i, name := range services {
+		s.config.Routes = append(s.config.Routes, register.Route{
+			Name: name, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, byte(i + 1)}), 443), Idempotent: i == 0,
+			Goal: 200 * time.Millisecond, Timeout: timeout, Targets: []register.Target{{Service: name, Weight: 1}},
+		})
+	}
+	for i := range s.config.Routes {
+		s.check.publishRoute(&s.config.Routes[i], false)
+	}
+	s.store.Put(wire.ConfigurationKey, wire.ConfigurationEntry(&s.config))
+	return func() {
+		_ = server.Close()
+		s.tb.Kill(nil)
+		_ = s.tb.Wait()
+	}, nil
+}
+
+func (s *site) startServers() (func(), error) {
+	for i := range s.Servers {
+		if err := s.addServer(services[i%len(services)], netip.AddrPortFrom(s.ip(serverNet, i), serverPort)); err != nil {
+			return nil, err
+		}
+	}
+	return func() {
+		for _, v := range s.allServers() {
+			v.stop()
+		}
+	}, nil
+}
+
+func zoneOf(i int) string { return fmt.Sprint("zone-", i%2) }
+
+// addServer starts a server and lists it.
+func (s *site) addServer(service string, address netip.AddrPort) error {
+	s.mu.Lock()
+	s.number++
+	number := s.number
+	s.mu.Unlock()
+	v := &server{}
+	v.Host = register.Host{
+		Name: fmt.Sprintf("i-%x", 0x1000+number), Number: uint64(0x1000 + number), Service: service, Address: address,
+		AvailabilityZone: zoneOf(int(address.Addr().As4()[3])), Slots: 2, Started: time.Now().UnixMilli(),
+	}
+	v.CallerPort, v.Work = dataPort, workTime
+	v.Opened, v.Ran = s.check.arrived, func(b *backend.Server, _ netip.AddrPort, request string) { s.check.ran(b, request) }
+	v.Drop = func(from netip.Addr) bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.cuts[[2]netip.Addr{from, address.Addr()}]
+	}
+	stop, err := v.Start()
+	if err != nil {
+		return err
+	}
+	v.stop = sync.OnceFunc(stop)
+	s.mu.Lock()
+	s.servers[v.Name] = v
+	s.mu.Unlock()
+	s.store.Put(wire.HostKey(v.Name), wire.HostEntry(&v.Host))
+	return nil
+}
+
+func (s *site) allServers() (list []*server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.servers {
+		list = append(list, v)
+	}
+	return list
+}
+
+// holder returns the live server that holds a flow.
+func (s *site) holder(f *caller.Flow) *backend.Server {
+	for _, v := range s.allServers() {
+		if v.Holds(f.Key) {
+			return &v.Server
+		}
+	}
+	return nil
+}
+
+func (s *site) startDaemons() (func(), error) {
+	directory, err := os.MkdirTemp("", "soak-")
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	var cleanups []func()
+	cleanup := func() {
+		for i := len(cleanups) - 1; i >= 0; i-- {
+			cleanups[i]()
+		}
+		_ = os.RemoveAll(directory)
+	}
+	for i := range s.Daemons {
+		d := &daemon{name: fmt.Sprint("entry-", i), address: s.ip(daemonNet, i), zone: zoneOf(i)}
+		d.settings = filepath.Join(directory, d.name+".json")
+		address := netip.AddrPortFrom(s.ip(proxyNet, i), storePort)
+		p, stop, err := newProxy(address.String(), netip.AddrPortFrom(s.ip(proxyNet, 200), storePort).String())
+		if err != nil {
+			return cleanup, err
+		}
+		d.proxy = p
+		cleanups = append(cleanups, stop)
+		if err := s.prepare(d, address); err != nil {
+			return cleanup, err
+		}
+		s.daemons = append(s.daemons, d)
+		cleanups = append(cleanups, d.kill)
+		if err := d.start(s.Binary); err != nil {
+			return cleanup, err
+		}
+	}
+	return cleanup, nil
+}
+
+// prepare writes the settings of a daemon and opens its log.
+func (s *site) prepare(d *daemon, storeAddress netip.AddrPort) error {
+	b, err := json.Marshal(map[string]any{
+		"forwarding": "token", "name": d.name, "region": "wa", "availability-zone": d.zone,
+		"data-address": netip.AddrPortFrom(d.address, dataPort), "operator-address": netip.AddrPortFrom(d.address, operatorPort),
+		"metrics-address": netip.AddrPortFrom(d.address, operatorPort), "peer-address": netip.AddrPortFrom(d.address, peerPort),
+		"contacts": []netip.AddrPort{netip.AddrPortFrom(s.ip(daemonNet, 0), peerPort), netip.AddrPortFrom(s.ip(daemonNet, 1), peerPort)},
+		"store":    storeAddress,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := os.WriteFile(d.settings, b, 0o600); err != nil {
+		return errors.Trace(err)
+	}
+	if s.Logs == "" {
+		return nil
+	}
+	d.log, err = os.OpenFile(filepath.Join(s.Logs, fmt.Sprintf("%d-%s.log", s.Seed, d.name)), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	return errors.Trace(err)
+}
+
+func (d *daemon) start(binary string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := exec.Command(binary, "--settings", d.settings)
+	if d.log != nil {
+		c.Stdout, c.Stderr = d.log, d.log
+	}
+	if err := c.Start(); err != nil {
+		return errors.Trace(err)
+	}
+	exited := make(chan struct{})
+	d.process, d.exited = c, exited
+	go func() {
+		_ = c.Wait() // Signals end it.
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process of the daemon and returns what is closed when this process has ended.
+func (d *daemon) signal(v os.Signal) <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_ = d.process.Process.Signal(v) // It may have ended.
+	return d.exited
+}
+
+func (d *daemon) kill() { <-d.signal(os.Kill) }
+
+// running reports whether the process of the daemon runs.
+func (d *daemon) running() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case <-d.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// startRouter checks the readiness of the daemons.
+func (s *site) startRouter() (func(), error) {
+	var tb tomb.Tomb
+	client := &http.Client{Timeout: checkPeriod}
+	for _, d := range s.daemons {
+		tb.Go(func() error {
+			for tb.Alive() {
+				d.probe(client)
+				select {
+				case <-time.After(checkPeriod):
+				case <-tb.Dying():
+				}
+			}
+			return nil
+		})
+	}
+	return func() {
+		tb.Kill(nil)
+		_ = tb.Wait()
+	}, nil
+}
+
+func (d *daemon) probe(client *http.Client) {
+	r, err := client.Get("http://" + netip.AddrPortFrom(d.address, operatorPort).String() + "/ready")
+	ok := err == nil && r.StatusCode == http.StatusOK
+	if err == nil {
+		_ = r.Body.Close()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.misses++; ok {
+		d.misses = 0
+	}
+	d.ready = ok || d.ready && d.misses < misses
+}
+
+// route returns the daemon that gets a packet: by a hash over those in rotation, or over all when there is none.
+func (s *site) route(k track.Key) (netip.AddrPort, bool) {
+	var list []*daemon
+	for _, d := range s.daemons {
+		d.mu.Lock()
+		if d.ready {
+			list = append(list, d)
+		}
+		d.mu.Unlock()
+	}
+	if len(list) == 0 {
+		list = s.daemons
+	}
+	h := xxhash.Sum64String(k.Caller.String() + k.Service.String())
+	return netip.AddrPortFrom(list[h%uint64(len(list))].address, dataPort), true
+}
+
+func (s *site) waitReady() error {
+	for end := time.Now().Add(readyDeadline); time.Now().Before(end); time.Sleep(checkPeriod) {
+		n := 0
+		for _, d := range s.daemons {
+			d.mu.Lock()
+			if d.ready {
+				n++
+			}
+			d.mu.Unlock()
+		}
+		if n == len(s.daemons) {
+			return nil
+		}
+	}
+	return errors.New("the daemons are not ready")
+}
+
+func (s *site) pickRoute(random *rand.Rand) register.Route {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.config.Routes[random.IntN(len(s.config.Routes))]
+}
