Explain failed flows from logs and metrics

Each new flow has a line with the server, its work and the age of the picture, bounded by message; quantiles of handshakes, first answers and reads of the store stand beside the counters; masticsparctl explain joins the logs of entry VMs.

--- /dev/null
+++ b/cmd/masticsparctl/explain.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"time"
+)
+
+// maxLine bounds a log line in bytes.
+const maxLine = 1 << 20
+
+// logLine is one event of one entry VM.
+type logLine struct {
+	at   time.Time
+	text string
+}
+
+// explain prints the events in the logs of several entry VMs that match, in the order of their time.
+func (c *command) explain(a arguments, files []string) int {
+	from, to, err := a.span()
+	if err != nil {
+		_, _ = fmt.Fprintln(c.errors, err)
+		return exitUsage
+	}
+	var lines []logLine
+	unreadable := 0
+	for _, name := range files {
+		var n int
+		if lines, n, err = readLog(name, lines); err != nil {
+			_, _ = fmt.Fprintln(c.errors, err)
+			return exitInvalid
+		}
+		unreadable += n
+	}
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].at.Before(lines[j].at) })
+	shown := 0
+	for _, l := range lines {
+		if (!from.IsZero() && l.at.Before(from)) || (!to.IsZero() && l.at.After(to)) || !matches(l.text, a.match) {
+			continue
+		}
+		_, _ = fmt.Fprintln(c.out, l.text)
+		shown++
+	}
+	_, _ = fmt.Fprintf(c.errors, "%d of %d events shown, %d lines unreadable\n", shown, len(lines), unreadable)
+	return exitOK
+}
+
+func (a *arguments) span() (from, to time.Time, err error) {
+	for _, v := range []struct {
+		field, text string
+		to          *time.Time
+	}{{"from", a.from, &from}, {"to", a.to, &to}} {
+		if v.text == "" {
+			continue
+		}
+		if *v.to, err = time.Parse(time.RFC3339Nano, v.text); err != nil {
+			return from, to, fmt.Errorf("%s must be a time such as 2026-12-04T08:00:00.5Z, got %q", v.field, v.text)
+		}
+	}
+	return from, to, nil
+}
+
+// readLog adds the events of a file, or of the standard input for "-", and counts the lines that are none.
+func readLog(name string, lines []logLine) ([]logLine, int, error) {
+	var in io.Reader = os.Stdin
+	if name != "-" {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, 0, err
+		}
+		defer func() { _ = f.Close() }()
+		in = f
+	}
+	unreadable := 0
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		// What stands before the event, such as the prefix of a collector, is passed over.
+		i := strings.Index(text, "ts=")
+		if i < 0 {
+			unreadable++
+			continue
+		}
+		stamp, _, _ := strings.Cut(text[i+len("ts="):], " ")
+		at, err := time.Parse(time.RFC3339Nano, stamp)
+		if err != nil {
+			unreadable++
+			continue
+		}
+		lines = append(lines, logLine{at: at, text: text[i:]})
+	}
+	return lines, unreadable, scanner.Err()
+}
+
+// matches reports whether the line has every word; a word such as host=i-1 must be a whole pair.
+func matches(line, words string) bool {
+	for _, w := range strings.Split(words, ",") {
+		if w == "" {
+			continue
+		}
+		if strings.Contains(w, "=") {
+			if !strings.Contains(" "+line+" ", " "+w+" ") {
+				return false
+			}
+		} else if !strings.Contains(line, w) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/cmd/masticsparctl/explain_test.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against events that are out of order, lost between files, or hidden by lines that cannot be read.
+func TestExplain(t *testing.T) {
+	is := is.New(t)
+	directory := t.TempDir()
+	write := func(name, text string) string {
+		file := filepath.Join(directory, name)
+		is.NoErr(os.WriteFile(file, []byte(text), 0o600))
+		return file
+	}
+	first := write("entry-1.log", "ts=2026-12-04T08:00:02Z msg=flow-reset caller=100.64.0.7:4001 reason=host-dead\n"+
+		"ts=2026-12-04T08:00:03Z msg=flow-opened caller=100.64.0.7:40011\npanic: no event\n")
+	second := write("entry-2.log", "12.3 entry-2 ts=2026-12-04T08:00:01Z msg=flow-opened caller=100.64.0.7:4001\nts=never msg=x\n")
+	run := func(arguments ...string) (string, string) {
+		var out, errors strings.Builder
+		is.Equal(run(append([]string{"explain"}, arguments...), &out, &errors), exitOK)
+		return out.String(), errors.String()
+	}
+	out, errors := run("--match", "caller=100.64.0.7:4001", "--", first, second)
+	is.Equal(out, "ts=2026-12-04T08:00:01Z msg=flow-opened caller=100.64.0.7:4001\n"+
+		"ts=2026-12-04T08:00:02Z msg=flow-reset caller=100.64.0.7:4001 reason=host-dead\n")
+	is.Equal(errors, "2 of 3 events shown, 2 lines unreadable\n")
+	out, _ = run("--from", "2026-12-04T08:00:02.5Z", "--", first, second)
+	is.Equal(strings.Count(out, "\n"), 1)
+}
--- a/cmd/masticsparctl/main.go
+++ b/cmd/masticsparctl/main.go
@@ -30,6 +30,7 @@
 type arguments struct {
 	operator, inventory, rules, oldInventory, oldRules string
 	protocol, source, destination                      string
+	match, from, to                                    string
 	json                                               bool
 	timeout                                            time.Duration
 }
@@ -63,6 +64,12 @@
 	flow.String(&a.destination, "d", "destination", "\"ip:port\" of the service (required)")
 	drain := add(p, "drain", "starts the graceful shutdown of an entry VM",
 		"Example: masticsparctl drain --operator 127.0.0.1:7080")
+	explain := add(p, "explain", "shows the decisions about a flow or in a time span from the logs of entry VMs",
+		"The logs are named after --; - is the standard input.\n"+
+			"Example: masticsparctl explain --match caller=100.64.0.7:4001 -- entry-1.log entry-2.log")
+	explain.String(&a.match, "m", "match", "what the events must have, separated by commas, such as host=i-1,reason=host-dead")
+	explain.String(&a.from, "", "from", "start of the time span")
+	explain.String(&a.to, "", "to", "end of the time span")
 	for _, s := range []*flaggy.Subcommand{check, status, flow, drain} {
 		s.String(&a.operator, "o", "operator", "operator address of an entry VM as \"ip:port\"")
 		s.Bool(&a.json, "j", "json", "write JSON")
@@ -83,6 +90,12 @@
 		return c.flow(a)
 	case drain.Used:
 		return c.drain()
+	case explain.Used:
+		if len(p.TrailingArguments) == 0 {
+			p.ShowHelpWithMessage("the logs are missing")
+			return exitUsage
+		}
+		return c.explain(a, p.TrailingArguments)
 	}
 	p.ShowHelpWithMessage("a command is missing")
 	return exitUsage
--- a/cmd/masticspard/direct.go
+++ b/cmd/masticspard/direct.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
@@ -20,6 +21,7 @@
 	"github.com/masticspar/masticspar/internal/placement"
 	"github.com/masticspar/masticspar/internal/register"
 	"github.com/masticspar/masticspar/internal/replica"
+	"github.com/masticspar/masticspar/internal/signal"
 	"github.com/masticspar/masticspar/internal/timer"
 	"github.com/masticspar/masticspar/internal/track"
 	"github.com/masticspar/masticspar/platform/datagram"
@@ -64,6 +66,16 @@
 	awake   time.Duration // end of the time after a pause in which SYNs are dropped
 
 	stopTimeout time.Duration
+	events      [signal.Repeated + 1]metrics.Counter // by kind
+	contact     time.Duration                        // last answer of the store or announcement
+}
+
+// eventCounters are the counters of what packets tell about servers.
+var eventCounters = [signal.Repeated + 1]string{
+	0: "flow-events-unknown", signal.Opened: "flows-opened", signal.Accepted: "flows-accepted",
+	signal.Refused: "flows-refused-by-server", signal.Unanswered: "flows-unanswered", signal.Requested: "requests-sent",
+	signal.Answered: "requests-answered", signal.Abandoned: "requests-abandoned", signal.Closed: "flows-closed",
+	signal.Joined: "flows-joined", signal.Repeated: "requests-repeated",
 }
 
 // newDirectDaemon starts everything and returns the function that stops it in the reverse order.
@@ -101,6 +113,20 @@
 	e.Register.Changed = d.logHost
 	e.Register.Retention = time.Duration(d.settings.FlowLifetime) + time.Duration(d.settings.SettleTime)
 	e.Start()
+	observe := e.Flows.Observe
+	e.Flows.Observe = func(now time.Duration, ev signal.Event) {
+		switch {
+		case ev.Kind == signal.Accepted:
+			d.counters.Observe("handshake", ev.Elapsed)
+		case ev.Kind == signal.Answered && ev.Elapsed > 0:
+			d.counters.Observe("first-answer", ev.Elapsed)
+		}
+		d.events[ev.Kind].Inc(1)
+		observe(now, ev)
+	}
+	for kind, name := range eventCounters {
+		d.events[kind] = d.counters.Counter(name)
+	}
 	d.stopTimeout = time.Duration(d.settings.StopTimeout)
 }
 
@@ -165,6 +191,9 @@
 	case direct.Forward:
 		d.out = d.codec.AppendForward(d.out[:0], b, v.Host.Token, v.Host.Number)
 		d.socket.Send(v.Host.Address, d.out, uint64(v.Host.Token), now)
+		if p.SYN && !v.Again {
+			d.logFlow(now, "flow-opened", &p, v)
+		}
 		if v.Again {
 			d.counters.Add("retry-unanswered", 1)
 			d.logFlow(now, "flow-retried", &p, v)
@@ -275,7 +304,8 @@
 	}
 	r := &d.engine.Register
 	before := r.Version()
-	put(d.timer.Now())
+	d.contact = d.timer.Now()
+	put(d.contact)
 	if r.Version() != before {
 		d.counters.Add("configurations-accepted", 1)
 		d.log.Info("configuration-in-force", zap.Uint64("version", r.Version()), zap.Uint64("before", before))
@@ -315,6 +345,7 @@
 	for s := register.Ready; s <= register.Gone; s++ {
 		d.counters.SetGauge("hosts-"+s.String(), states[s])
 	}
+	d.counters.SetGauge("picture-age-milliseconds", (d.timer.Now() - d.contact).Milliseconds())
 	d.counters.SetGauge("flows", int64(d.engine.Flows.Len()))
 	d.counters.SetGauge("configuration-version", int64(d.engine.Register.Version()))
 	d.mu.Unlock()
@@ -436,6 +467,7 @@
 	fields := []zap.Field{
 		zap.Stringer("caller", p.Caller), zap.Stringer("service-address", p.Service), zap.Uint32("token", p.Token),
 		zap.Bool("syn", p.SYN), zap.Uint64("configuration", d.engine.Register.Version()),
+		zap.Duration("picture-age", now-d.contact),
 	}
 	if v.Reason != "" {
 		fields = append(fields, zap.String("reason", v.Reason))
@@ -443,8 +475,8 @@
 	if v.Host != nil {
 		load := d.engine.Placement.Load(now, v.Host.Token)
 		fields = append(fields, zap.String("host", v.Host.Name), zap.Stringer("host-state", v.Host.State),
-			zap.Int("outstanding", load.Outstanding), zap.Duration("silence", load.Silence),
-			zap.Int("repeats", load.Repeats))
+			zap.Int("outstanding", load.Outstanding), zap.Duration("answer-time", load.Answer),
+			zap.Duration("silence", load.Silence), zap.Int("repeats", load.Repeats))
 	}
 	d.log.Info(event, fields...)
 }
--- a/cmd/masticspard/main.go
+++ b/cmd/masticspard/main.go
@@ -8,10 +8,12 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/integrii/flaggy"
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -114,7 +116,8 @@
 	}
 	out, closeLog := stream.New(os.Stdout, 0)
 	defer closeLog()
-	log := newLogger(out).With(zap.String("name", s.Name))
+	omitted := metrics.NewCounter()
+	log := newLogger(out).WithOptions(sampled(omitted)).With(zap.String("name", s.Name))
 	signals, reloads := make(chan os.Signal, 2), make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	signal.Notify(reloads, syscall.SIGHUP)
@@ -122,6 +125,9 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if err := d.counters.Registry.Register("log-lines-omitted", omitted); err != nil {
+		return errors.Trace(err)
+	}
 	cancelReload := d.reloadOn(reloads, file)
 	defer cancelReload()
 	v := <-signals
@@ -134,6 +140,24 @@
 	return nil
 }
 
+// Bounds of the lines with one message: the first ones of each second are written, and a part of the others.
+const (
+	linesPerSecond = 15
+	thereafter     = 50
+)
+
+// sampled bounds the lines of each message and counts those that are left out.
+func sampled(omitted metrics.Counter) zap.Option {
+	return zap.WrapCore(func(c zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(c, time.Second, linesPerSecond, thereafter,
+			zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
+				if d&zapcore.LogDropped != 0 {
+					omitted.Inc(1)
+				}
+			}))
+	})
+}
+
 // newLogger writes one line of key=value pairs for each event.
 func newLogger(out zapcore.WriteSyncer) *zap.Logger {
 	encoder := zap.NewProductionEncoderConfig()
--- a/cmd/masticspard/peers.go
+++ b/cmd/masticspard/peers.go
@@ -237,6 +237,7 @@
 
 // announced puts an announcement in force.
 func (d *directDaemon) announced(now time.Duration, m *announce.Message) {
+	d.contact = now
 	a := d.peers.group.Handle(now, m, d.replica.Revision(), d.engine.Register.Version())
 	for _, c := range a.Apply {
 		d.engine.Register.Apply(now, c, false)
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -44,6 +47,26 @@
 	metrics.GetOrRegisterGauge(name, s.Registry).Update(v)
 }
 
+// reservoir is the number of recent samples that the quantiles of a histogram are taken from; alpha makes those of the
+// last five minutes count most.
+const (
+	reservoir = 1028
+	alpha     = 0.015
+)
+
+// quantiles are those that WriteText shows.
+var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+
+// Observe adds a duration to the histogram name.
+func (s *Set) Observe(name string, d time.Duration) {
+	if s == nil || s.Registry == nil {
+		return
+	}
+	s.Registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoir, alpha))
+	}).(metrics.Histogram).Update(int64(d))
+}
+
 // Values returns the current value of each counter and gauge by name.
 func (s *Set) Values() map[string]int64 {
 	values := map[string]int64{}
@@ -75,5 +98,31 @@
 			return err
 		}
 	}
+	return s.writeHistograms(w)
+}
+
+// writeHistograms writes the histograms as summaries in seconds.
+func (s *Set) writeHistograms(w io.Writer) error {
+	if s == nil || s.Registry == nil {
+		return nil
+	}
+	histograms := map[string]metrics.Histogram{}
+	s.Registry.Each(func(name string, m any) {
+		if h, ok := m.(metrics.Histogram); ok {
+			histograms[name] = h.Snapshot()
+		}
+	})
+	for _, name := range slices.Sorted(maps.Keys(histograms)) {
+		h := histograms[name]
+		label := "masticspar_" + strings.ReplaceAll(name, "-", "_") + "_seconds"
+		for i, v := range h.Percentiles(quantiles) {
+			if _, err := fmt.Fprintf(w, "%s{quantile=\"%g\"} %g\n", label, quantiles[i], v/float64(time.Second)); err != nil {
+				return err
+			}
+		}
+		if _, err := fmt.Fprintf(w, "%s_count %d\n", label, h.Count()); err != nil {
+			return err
+		}
+	}
 	return nil
 }
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -17,3 +18,16 @@
 	is.NoErr(s.WriteText(&b))
 	is.Equal(b.String(), "masticspar_open_flows 7\nmasticspar_refused_overload 2\n")
 }
+
+// Guards against latencies that are shown in another unit than their name says.
+func TestHistogram(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	for range 4 {
+		s.Observe("first-answer", 20*time.Millisecond)
+	}
+	var b strings.Builder
+	is.NoErr(s.WriteText(&b))
+	is.True(strings.Contains(b.String(), "masticspar_first_answer_seconds{quantile=\"0.99\"} 0.02\n"))
+	is.True(strings.Contains(b.String(), "masticspar_first_answer_seconds_count 4\n"))
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -191,8 +191,10 @@
 	for position := ""; ; {
 		r.Counters.Add("store-reads", 1)
 		call, cancel := context.WithTimeout(ctx, readTimeout)
+		started := r.Now()
 		page, err := r.Read(call, position)
 		cancel()
+		r.Counters.Observe("store-read", r.Now()-started)
 		if err != nil {
 			pause := r.failed(err)
 			if r.Revision() > 0 {
