Use no server of a service that is not configured

An entry of another writer with the address of a live server ended that server and reset its flows. Entries of unknown services wait until a configuration names the service. Tokens that are forgotten leave the placement too.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULES := $(shell go list -m -f '{{.Dir}}')
 PACKAGES := $(addsuffix /...,$(MODULES))
 
-.PHONY: build test bench demo measure model lint format
+.PHONY: build test bench demo measure model soak lint format
 
 build:
 	@mkdir -p bin
@@ -29,6 +29,14 @@
 model:
 	./model/run
 
+# Daemons as processes with faults from outside; SEED chooses the faults and DURATION bounds the time with them.
+SEED ?= 1
+DURATION ?= 10s
+soak:
+	@mkdir -p bin
+	@go build -o bin/ ./cmd/soak ./cmd/masticspard
+	@bin/soak --seed $(SEED) --duration $(DURATION)
+
 demo: build
 	bin/demo --binaries bin
 
--- a/internal/direct/engine.go
+++ b/internal/direct/engine.go
@@ -72,6 +72,7 @@
 
 // Start connects the parts; it is called once.
 func (e *Engine) Start() {
+	e.Register.Forgotten = e.Placement.Forget
 	e.Flows.Observe = func(now time.Duration, ev signal.Event) { e.Placement.Observe(now, ev) }
 }
 
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -68,6 +68,8 @@
 	Version uint64 `cbor:"1,keyasint"`
 	// Routes are all routes in force.
 	Routes []Route `cbor:"2,keyasint"`
+	// Services are the names of the services; servers of others are not used. Empty allows all.
+	Services []string `cbor:"3,keyasint,omitempty"`
 }
 
 // Change is one change of the published state.
@@ -129,6 +131,8 @@
 	Retention time.Duration
 	// Changed is called after each change of belief about a lifetime, with the former state; it may be nil.
 	Changed func(now time.Duration, l *Lifetime, before State)
+	// Forgotten is called when the token of a former lifetime is known no more; it may be nil.
+	Forgotten func(token uint32)
 
 	config    Configuration
 	routes    map[netip.AddrPort]*Route
@@ -137,6 +141,7 @@
 	addresses map[netip.AddrPort]*Lifetime
 	services  map[string][]*Lifetime
 	revisions map[string]uint64 // of the last change of each name
+	strangers map[string]Change // listed servers of services that no configuration names yet
 }
 
 // NewToken returns the token of a lifetime; it is never 0, which packets carry before they have a token.
@@ -194,7 +199,7 @@
 // have lapsed. It reports whether the change altered the picture.
 func (r *Register) Apply(now time.Duration, c Change, away bool) bool {
 	if c.Configuration != nil {
-		return r.configure(c.Configuration)
+		return r.configure(now, c.Configuration)
 	}
 	if c.Name == "" || c.Revision < r.revisions[c.Name] { // A later change came first.
 		return false
@@ -203,12 +208,23 @@
 		r.revisions = map[string]uint64{}
 	}
 	r.revisions[c.Name] = c.Revision
+	delete(r.strangers, c.Name)
+	if c.Host != nil && !r.known(c.Host.Service) {
+		// Whoever wrote the entry, it must not take the address of a server that is used.
+		if r.strangers == nil {
+			r.strangers = map[string]Change{}
+		}
+		r.strangers[c.Name] = c
+		c.Host, c.Fault = nil, UnknownService
+	}
 	if c.Host != nil {
 		return r.list(now, &c)
 	}
 	l := r.names[c.Name]
 	if l == nil {
-		delete(r.revisions, c.Name)
+		if c.Fault == "" {
+			delete(r.revisions, c.Name)
+		}
 		return false
 	}
 	if c.Fault == "" && away && l.State == Ready {
@@ -230,6 +246,11 @@
 		}
 		r.Apply(now, c, away)
 	}
+	for name := range r.strangers {
+		if !named[name] {
+			delete(r.strangers, name)
+		}
+	}
 	for name := range r.names {
 		if !named[name] {
 			r.Apply(now, Change{Name: name, Revision: revision}, away)
@@ -252,6 +273,9 @@
 			r.set(now, l, Gone)
 		case l.State == Gone && now-l.Since >= retention:
 			delete(r.tokens, token)
+			if r.Forgotten != nil {
+				r.Forgotten(token)
+			}
 			if r.names[l.Name] == l {
 				delete(r.names, l.Name)
 				delete(r.revisions, l.Name)
@@ -272,11 +296,24 @@
 	}
 }
 
-func (r *Register) configure(c *Configuration) bool {
+// UnknownService is the fault of an entry whose service no configuration names.
+const UnknownService = "service"
+
+// known reports whether servers of the service may be used.
+func (r *Register) known(service string) bool {
+	return len(r.config.Services) == 0 || slices.Contains(r.config.Services, service)
+}
+
+func (r *Register) configure(now time.Duration, c *Configuration) bool {
 	if c.Version <= r.config.Version {
 		return false
 	}
 	r.config = *c
+	for _, c := range r.strangers {
+		if r.known(c.Host.Service) {
+			r.Apply(now, c, false)
+		}
+	}
 	r.routes = make(map[netip.AddrPort]*Route, len(c.Routes))
 	for i := range c.Routes {
 		r.routes[c.Routes[i].Address] = &c.Routes[i]
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -147,6 +147,40 @@
 	is.Equal(names(&r), []string{})
 }
 
+// Guards against an entry of another writer that ends a live server, because it has its address and a service that does
+// not exist, and against a server that is lost when its service is configured later.
+func TestEntryOfAnUnknownServiceTakesNoAddress(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	r.Apply(0, Change{Configuration: &Configuration{Version: 1, Services: []string{"standdesk"}}}, false)
+	r.Apply(0, listed(host("i-1", 1, addressA), 1), false)
+	token := r.Hosts("standdesk")[0].Token
+	stranger := host("i-9", 2, addressA)
+	stranger.Service = "nowhere"
+	r.Apply(0, listed(stranger, 2), false)
+	is.Equal(names(&r), []string{"i-1"})
+	is.True(!r.Lifetime(token).Replaced)
+	later := host("i-3", 2, addressB)
+	later.Service = "photointake"
+	r.Apply(0, listed(later, 3), false)
+	is.Equal(len(r.Hosts("photointake")), 0)
+	r.Apply(0, Change{Configuration: &Configuration{Version: 2, Services: []string{"standdesk", "photointake"}}}, false)
+	is.Equal(len(r.Hosts("photointake")), 1)
+}
+
+// Guards against memory that grows with each restart of a server.
+func TestFormerLifetimesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	var forgotten []uint32
+	r.Forgotten = func(token uint32) { forgotten = append(forgotten, token) }
+	r.Apply(0, listed(host("i-1", 1, addressA), 1), false)
+	r.Apply(0, listed(host("i-1", 2, addressA), 2), false)
+	r.Sweep(DefaultRetention)
+	is.Equal(forgotten, []uint32{NewToken("i-1", 1)})
+	is.Equal(len(names(&r)), 1)
+}
+
 // Guards against a configuration that reverts.
 func TestConfigurationNeverReverts(t *testing.T) {
 	is := is.New(t)
