--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -39,9 +39,16 @@
 // disturb injects faults until the given time and waits for all of them to end.
 func (s *site) disturb(random *rand.Rand, end time.Time) {
 	kinds := []fault{
-		{"kill", s.killDaemon}, {"roll", s.rollDaemon}, {"pause", s.pauseDaemon}, {"hup", s.hangUp},
-		{"store-proxy", s.disturbProxy}, {"store-down", s.storeDown}, {"store-forgets", s.storeForgets},
-		{"server-leaves", s.serverLeaves}, {"server-crashes", s.serverCrashes}, {"server-cut", s.serverCut},
+		{"kill", s.killDaemon},
+		{"roll", s.rollDaemon},
+		{"pause", s.pauseDaemon},
+		{"hup", s.hangUp},
+		{"store-proxy", s.disturbProxy},
+		{"store-down", s.storeDown},
+		{"store-forgets", s.storeForgets},
+		{"server-leaves", s.serverLeaves},
+		{"server-crashes", s.serverCrashes},
+		{"server-cut", s.serverCut},
 		{"route", s.changeRoute},
 	}
 	var group sync.WaitGroup
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -267,6 +267,9 @@
 }
 
 func (r *Replica) failed(err error) time.Duration {
+	if !r.tb.Alive() {
+		return 0 // The call was ended by the stop.
+	}
 	reason := "unreachable"
 	switch {
 	case errors.Is(err, ErrRefused):
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -123,6 +123,18 @@
 	is.Equal(c.Counters.Values()["store-retry-unreachable"], int64(1))
 }
 
+// Guards against a stop that looks like an outage of the store in the log.
+func TestStopIsNoOutage(t *testing.T) {
+	s := newScript()
+	_, stop := New(s.config())
+	s.reads <- result{page: Page{Revision: 5}}
+	s.expect(t, "replace")
+	stop()
+	if len(s.done) > 0 {
+		t.Fatalf("told %q", <-s.done)
+	}
+}
+
 // Guards against a fresh process that waits for the timeout of the store although another process has a picture.
 func TestFreshProcessAsksPeersAtOnce(t *testing.T) {
 	s := newScript()
