--- /dev/null
+++ b/internal/direct/bench_test.go
@@ -0,0 +1,94 @@
+package direct
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/masticspar/masticspar/internal/placement"
+	"github.com/masticspar/masticspar/internal/register"
+	"github.com/masticspar/masticspar/internal/track"
+)
+
+func benchEngine(hosts int) *Engine {
+	e := &Engine{Placement: placement.Model{AvailabilityZone: "zone-0"}}
+	e.Start()
+	e.Register.Apply(0, register.Change{Configuration: &register.Configuration{Version: 1, Routes: []register.Route{{
+		Address: serviceAddress, Goal: goal, Targets: []register.Target{{Service: "standdesk", Weight: 1}},
+	}}}}, false)
+	for i := range hosts {
+		name := fmt.Sprintf("i-%08x", i)
+		e.Register.Apply(0, register.Change{Name: name, Revision: 1, Created: 1, Host: &register.Host{
+			Name: name, Service: "standdesk", AvailabilityZone: fmt.Sprint("zone-", i%3), Started: 1, Slots: 2,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
+		}}, false)
+	}
+	return e
+}
+
+func benchKey(i int) track.Key {
+	a := netip.AddrFrom4([4]byte{100, byte(64 + i>>22), byte(i >> 14), byte(i >> 6)})
+	return track.Key{Caller: netip.AddrPortFrom(a, uint16(1024+i&63)), Service: serviceAddress}
+}
+
+// BenchmarkPacket is a request and its acknowledgement on an open flow.
+func BenchmarkPacket(b *testing.B) {
+	e := benchEngine(20)
+	c := track.Packet{Key: benchKey(1), ACK: true, Token: e.Register.Hosts("standdesk")[0].Token}
+	now := time.Second
+	b.ReportAllocs()
+	for b.Loop() {
+		now += time.Millisecond
+		c.Length = 100
+		e.Packet(now, &c)
+		c.Sequence, c.Acknowledged, c.Length = c.Sequence+100, c.Acknowledged+500, 0
+		e.Packet(now, &c)
+	}
+}
+
+// BenchmarkNewFlow is the choice of a server and the end of the flow, by the number of servers of the service.
+func BenchmarkNewFlow(b *testing.B) {
+	for _, hosts := range []int{5, 50, 500} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			e := benchEngine(hosts)
+			now, i := time.Second, 0
+			b.ReportAllocs()
+			for b.Loop() {
+				now += time.Millisecond
+				i++
+				p := track.Packet{Key: benchKey(i % 4096), SYN: true}
+				v := e.Packet(now, &p)
+				p = track.Packet{Key: p.Key, ACK: true, FIN: true, Token: v.Host.Token}
+				e.Packet(now, &p)
+				e.Flows.Forget(now, p.Key)
+			}
+		})
+	}
+}
+
+// BenchmarkMemory measures the heap of each flow and of each server.
+func BenchmarkMemory(b *testing.B) {
+	const flows, hosts = 100_000, 5_700
+	for b.Loop() {
+		before := heap()
+		e := benchEngine(hosts)
+		withHosts := heap()
+		token := e.Register.Hosts("standdesk")[0].Token
+		for i := range flows {
+			e.Packet(time.Second, &track.Packet{Key: benchKey(i), ACK: true, Token: token})
+		}
+		withFlows := heap()
+		b.ReportMetric(float64(withHosts-before)/hosts, "B/server")
+		b.ReportMetric(float64(withFlows-withHosts)/flows, "B/flow")
+		runtime.KeepAlive(e)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
