Start on sites whose settings lack bounds or have other ones

A settle time of 1 s or less gave a wait of no length and calls without a pause, a bound that a site does not have made settings that cannot be read, and a taken port for metrics kept the daemon from starting. Calls for a status or a drain, which the token mode does not have, ended the connection. Found by reading the template against the page of the settings; the tests fail without the changes.

--- a/cmd/masticspard/direct.go
+++ b/cmd/masticspard/direct.go
@@ -212,13 +212,12 @@
 
 func (d *directDaemon) startStore() (func(), error) {
 	client, closeClient := store.New(d.settings.Store.String())
-	bound := min(time.Duration(d.settings.DrainBound), time.Duration(d.settings.ConfigurationBound))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r, stop := replica.New(replica.Config{
 		Read: client.Read, Watch: client.Watch, Configuration: client.Configuration, Now: d.timer.Now,
-		Wait:     min(time.Duration(d.settings.SettleTime)-time.Second, bound),
-		Collect:  time.Duration(collectShare * float64(bound)),
+		Wait:     d.settings.StoreWait(),
+		Collect:  time.Duration(collectShare * float64(d.settings.Bound())),
 		Peer:     d.fetchPicture,
 		Adopt:    d.adopt,
 		Replace:  d.replace,
@@ -323,8 +322,10 @@
 	}
 	stopMetrics, err := ready.Listen(d.settings.MetricsAddress)
 	if err != nil {
-		stopReady()
-		return nil, err
+		// Callers are served without metrics too.
+		d.counters.Add("metrics-not-served", 1)
+		d.log.Error("metrics-not-served", zap.Error(err))
+		return stopReady, nil
 	}
 	return func() {
 		stopMetrics()
--- a/cmd/masticspard/direct_test.go
+++ b/cmd/masticspard/direct_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	directsettings "github.com/masticspar/masticspar/internal/direct/settings"
+	"github.com/masticspar/masticspar/internal/document"
 	standin "github.com/masticspar/masticspar/platform/standin/store"
 )
 
@@ -231,6 +232,39 @@
 	}
 }
 
+// Guards against calls to the store without a pause where the settle time is short, and against a wait that hides a lost
+// answer for longer than a bound.
+func TestStoreWait(t *testing.T) {
+	for _, test := range []struct{ settle, bound, want time.Duration }{
+		{4 * time.Second, 3 * time.Second, 3 * time.Second},
+		{500 * time.Millisecond, 3 * time.Second, 250 * time.Millisecond},
+		{time.Minute, 2 * time.Second, 2 * time.Second},
+	} {
+		s := &directsettings.Settings{}
+		s.SetDefaults()
+		s.SettleTime, s.DrainBound = document.Duration(test.settle), document.Duration(test.bound)
+		s.ConfigurationBound = document.Duration(time.Minute)
+		if got := s.StoreWait(); got != test.want {
+			t.Errorf("settle time %v, bound %v: wait %v, want %v", test.settle, test.bound, got, test.want)
+		}
+	}
+}
+
+// Guards against a daemon that does not start because the port of its metrics is taken.
+func TestDirectStartsWithoutMetrics(t *testing.T) {
+	s := newDirectSite(t, "i-1")
+	set := s.settings("entry-1")
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	defer func() { _ = taken.Close() }()
+	set.MetricsAddress = taken.Addr().(*net.TCPAddr).AddrPort()
+	_, logs := s.start(set)
+	s.until("ready", readyOf(set))
+	if logs.FilterMessage("metrics-not-served").Len() != 1 {
+		t.Fatal("the log does not tell that the metrics are not served")
+	}
+}
+
 // Guards against a template and settings that do not fit each other.
 func TestDirectSettingsErrors(t *testing.T) {
 	is := is.New(t)
--- a/cmd/masticspard/main.go
+++ b/cmd/masticspard/main.go
@@ -112,7 +112,7 @@
 		return nil
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+		debug.SetMemoryLimit(int64(memoryShare * s.MemoryMB * (1 << 20)))
 	}
 	out, closeLog := stream.New(os.Stdout, 0)
 	defer closeLog()
--- a/internal/direct/settings/settings.go
+++ b/internal/direct/settings/settings.go
@@ -17,6 +17,9 @@
 	PlacementHash       = "hash"
 )
 
+// lossMargin is the part of the settle time in which a lost answer of the store is noticed and the state is read again.
+const lossMargin = time.Second
+
 // Settings are the settings of one entry VM that forwards by token.
 type Settings struct {
 	// Forwarding selects the mode; it is "token".
@@ -55,7 +58,7 @@
 	// FlowLifetime is the age up to which an open flow is kept.
 	FlowLifetime document.Duration `json:"flow-lifetime"`
 	// MemoryMB is the memory of the VM in megabytes.
-	MemoryMB int `json:"memory-mb"`
+	MemoryMB float64 `json:"memory-mb"`
 	// Placement is "answer-time" or, as a baseline for measurements, "hash".
 	Placement string `json:"placement"`
 }
@@ -111,7 +114,19 @@
 	c.Duration("configuration-bound", s.ConfigurationBound, 500*time.Millisecond, time.Hour)
 	c.Duration("stop-timeout", s.StopTimeout, 500*time.Millisecond, time.Hour)
 	c.Duration("flow-lifetime", s.FlowLifetime, time.Second, 24*time.Hour)
-	c.Integer("memory-mb", s.MemoryMB, 16, 1<<20)
+	c.That(s.MemoryMB >= 16 && s.MemoryMB <= 1<<20, "memory-mb", "a number from 16 to 1048576", s.MemoryMB)
 	c.That(s.Placement == PlacementAnswerTime || s.Placement == PlacementHash, "placement", `"answer-time" or "hash"`, s.Placement)
 	return c.Err()
 }
+
+// StoreWait returns the longest wait for a change of the store: a lost answer must be noticed within the settle time, and
+// within the bounds.
+func (s *Settings) StoreWait() time.Duration {
+	settle := time.Duration(s.SettleTime)
+	return min(max(settle/2, settle-lossMargin), s.Bound())
+}
+
+// Bound returns the shortest time in which a change of the store must be in force.
+func (s *Settings) Bound() time.Duration {
+	return time.Duration(min(s.DrainBound, s.ConfigurationBound))
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -20,7 +20,8 @@
 	stopDeadline   = time.Second
 )
 
-// Server answers operators and collectors over HTTP; its fields are set before Listen.
+// Server answers operators and collectors over HTTP; its fields are set before Listen. What Status, Flow or Drain would
+// answer is not found while they are nil.
 type Server struct {
 	// Status returns the status of the entry VM.
 	Status func() Status
@@ -61,9 +62,15 @@
 // Handler returns the routes of the server.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Status()) })
-	mux.HandleFunc("GET /flow", s.flow)
-	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Drain()) })
+	if s.Status != nil {
+		mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Status()) })
+	}
+	if s.Flow != nil {
+		mux.HandleFunc("GET /flow", s.flow)
+	}
+	if s.Drain != nil {
+		mux.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Drain()) })
+	}
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		_ = s.Metrics(w)
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -49,3 +49,16 @@
 	code, _ := get(http.MethodGet, "/ready")
 	is.Equal(code, 200)
 }
+
+// Guards against a call of an operator that ends the connection, because a mode of the daemon does not have its answer.
+func TestMissingAnswersAreNotFound(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer((&Server{Ready: func() bool { return true }}).Handler())
+	defer server.Close()
+	for _, path := range []string{"/status", "/flow"} {
+		r, err := http.Get(server.URL + path)
+		is.NoErr(err)
+		_ = r.Body.Close()
+		is.Equal(r.StatusCode, http.StatusNotFound)
+	}
+}
