--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -204,3 +204,27 @@
 	s.reads <- result{page: Page{Changes: []register.Change{{Configuration: &register.Configuration{Version: 2}}}}}
 	s.expect(t, "apply")
 }
+
+// Guards against a large fleet that starts at once and never ends its readings: the store refuses calls above its limit, and
+// a reading that begins again after each refusal uses the limit up for all.
+func TestReadingGoesOnWhereItWasRefused(t *testing.T) {
+	s := newScript()
+	c := s.config()
+	positions := make(chan string, 10)
+	answers := make(chan result, 10)
+	c.Read = func(ctx context.Context, after string) (Page, error) {
+		positions <- after
+		return answer(ctx, answers)
+	}
+	answers <- result{page: Page{Revision: 5, Next: "page-2"}}
+	answers <- result{err: ErrRefused}
+	answers <- result{page: Page{Revision: 6}}
+	answers <- result{page: Page{Revision: 6}}
+	_, stop := New(c)
+	defer stop()
+	for _, want := range []string{"", "page-2", "page-2"} {
+		if got := <-positions; got != want {
+			t.Fatalf("read after %q, want %q", got, want)
+		}
+	}
+}
