Split the daemon of the token mode by duty

The test of the daemon wrote the platform's keys, entries and packets itself; it uses the stand-ins in platform/ now. No change in behaviour.

--- a/cmd/masticspard/daemon.go
+++ b/cmd/masticspard/daemon.go
@@ -45,21 +45,9 @@
 // newDaemon starts everything and returns the function that stops it in the reverse order.
 func newDaemon(s *settings.Settings, log *zap.Logger) (*daemon, func(), error) {
 	d := &daemon{settings: s, log: log, counters: counter.New(), draining: make(chan struct{})}
-	var cleanups []func()
-	stop := func() {
-		for i := len(cleanups) - 1; i >= 0; i-- {
-			cleanups[i]()
-		}
-	}
-	for _, step := range []func() (func(), error){
-		d.startTimer, d.startLink, d.startSockets, d.startEngine, d.startPlatform, d.startOperator,
-	} {
-		cleanup, err := step()
-		if err != nil {
-			stop()
-			return nil, nil, err
-		}
-		cleanups = append(cleanups, cleanup)
+	stop, err := start(d.startTimer, d.startLink, d.startSockets, d.startEngine, d.startPlatform, d.startOperator)
+	if err != nil {
+		return nil, nil, err
 	}
 	log.Info("started", zap.Stringer("fabric-address", s.FabricAddress), zap.Stringer("control-address", s.ControlAddress),
 		zap.String("availability-zone", s.AvailabilityZone))
--- /dev/null
+++ b/cmd/masticspard/direct_drain.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"os"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/masticspar/masticspar/internal/direct"
+)
+
+const (
+	// leaveTime is how long the routers take to notice that an entry VM is not ready.
+	leaveTime = 1500 * time.Millisecond
+	// quietTime without packets ends a stop before its timeout.
+	quietTime = 600 * time.Millisecond
+	// stopMargin is kept of the stop timeout for the end of the process.
+	stopMargin = time.Second
+)
+
+// drain takes the entry VM out of rotation and returns when the routers send nothing more or the time is up.
+func (d *directDaemon) drain(signals <-chan os.Signal) error {
+	d.stopping.Store(true)
+	d.mu.Lock()
+	if d.peers != nil {
+		d.peers.list.Leave(d.timer.Now())
+		d.peers.socket.Flush()
+	}
+	d.mu.Unlock()
+	started := d.timer.Now()
+	d.mu.Lock()
+	limit := max(d.stopTimeout-stopMargin, leaveTime)
+	d.mu.Unlock()
+	done := make(chan struct{})
+	var once sync.Once
+	cancel := d.timer.Subscribe(direct.TickPeriod, func(now time.Duration) {
+		quiet := now - time.Duration(d.packetAt.Load())
+		if now-started >= limit || now-started >= leaveTime && quiet >= quietTime {
+			once.Do(func() { close(done) })
+		}
+	})
+	defer cancel()
+	select {
+	case <-done:
+		d.log.Info("drained", zap.Duration("after", d.timer.Now()-started))
+		return nil
+	case v := <-signals:
+		return errors.Errorf("%s during the drain", v)
+	}
+}
--- /dev/null
+++ b/cmd/masticspard/direct_log.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/masticspar/masticspar/internal/direct"
+	"github.com/masticspar/masticspar/internal/register"
+	"github.com/masticspar/masticspar/internal/track"
+)
+
+func (d *directDaemon) logHost(now time.Duration, l *register.Lifetime, before register.State) {
+	d.counters.Add("host-"+l.State.String(), 1)
+	d.log.Info("host-state", zap.String("host", l.Name), zap.Uint32("token", l.Token), zap.String("service", l.Service),
+		zap.String("availability-zone", l.AvailabilityZone), zap.Stringer("address", l.Address),
+		zap.Stringer("state", l.State), zap.Stringer("before", before), zap.Duration("held", now-l.Seen),
+		zap.Bool("replaced", l.Replaced))
+}
+
+func (d *directDaemon) logSilent(now time.Duration, token uint32, silent bool) {
+	event := "host-answers"
+	if silent {
+		event = "host-suspected"
+	}
+	d.counters.Add(event, 1)
+	load := d.engine.Placement.Load(now, token)
+	d.log.Info(event, zap.Uint32("token", token), zap.Duration("silence", load.Silence),
+		zap.Int("outstanding", load.Outstanding), zap.Int("repeats", load.Repeats))
+}
+
+// logFlow writes the decision about a flow with what decided it.
+func (d *directDaemon) logFlow(now time.Duration, event string, p *track.Packet, v direct.Verdict) {
+	fields := []zap.Field{
+		zap.Stringer("caller", p.Caller), zap.Stringer("service-address", p.Service), zap.Uint32("token", p.Token),
+		zap.Bool("syn", p.SYN), zap.Uint64("configuration", d.engine.Register.Version()),
+		zap.Duration("picture-age", now-d.contact),
+	}
+	if v.Reason != "" {
+		fields = append(fields, zap.String("reason", v.Reason))
+	}
+	if v.Host != nil {
+		load := d.engine.Placement.Load(now, v.Host.Token)
+		fields = append(fields, zap.String("host", v.Host.Name), zap.Stringer("host-state", v.Host.State),
+			zap.Int("outstanding", load.Outstanding), zap.Duration("answer-time", load.Answer),
+			zap.Duration("silence", load.Silence), zap.Int("repeats", load.Repeats))
+	}
+	d.log.Info(event, fields...)
+}
--- /dev/null
+++ b/cmd/masticspard/direct_operator.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"io"
+
+	"go.uber.org/zap"
+
+	"github.com/masticspar/masticspar/internal/operator"
+	"github.com/masticspar/masticspar/internal/register"
+)
+
+func (d *directDaemon) startOperator() (func(), error) {
+	ready := &operator.Server{Ready: d.ready, Metrics: d.metrics}
+	stopReady, err := ready.Listen(d.settings.OperatorAddress)
+	if err != nil {
+		return nil, err
+	}
+	if d.settings.MetricsAddress == d.settings.OperatorAddress {
+		return stopReady, nil
+	}
+	stopMetrics, err := ready.Listen(d.settings.MetricsAddress)
+	if err != nil {
+		// Callers are served without metrics too.
+		d.counters.Add("metrics-not-served", 1)
+		d.log.Error("metrics-not-served", zap.Error(err))
+		return stopReady, nil
+	}
+	return func() {
+		stopMetrics()
+		stopReady()
+	}, nil
+}
+
+func (d *directDaemon) ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.stopping.Load() && d.engine.Register.Complete()
+}
+
+func (d *directDaemon) metrics(w io.Writer) error {
+	d.mu.Lock()
+	states := map[register.State]int64{}
+	d.engine.Register.Each(func(l *register.Lifetime) { states[l.State]++ })
+	for s := register.Ready; s <= register.Gone; s++ {
+		d.counters.SetGauge("hosts-"+s.String(), states[s])
+	}
+	d.counters.SetGauge("picture-age-milliseconds", (d.timer.Now() - d.contact).Milliseconds())
+	d.counters.SetGauge("flows", int64(d.engine.Flows.Len()))
+	d.counters.SetGauge("configuration-version", int64(d.engine.Register.Version()))
+	d.mu.Unlock()
+	return d.counters.WriteText(w)
+}
--- /dev/null
+++ b/cmd/masticspard/direct_reload.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	directsettings "github.com/masticspar/masticspar/internal/direct/settings"
+)
+
+// reloadPeriod is the time between two looks at the settings file, which may change without a signal.
+const reloadPeriod = 5 * time.Second
+
+// reloadOn reads the settings file again after each signal and from time to time.
+func (d *directDaemon) reloadOn(signals <-chan os.Signal, file string) func() {
+	var tb tomb.Tomb
+	modified := modifiedAt(file)
+	tb.Go(func() error {
+		ticker := time.NewTicker(reloadPeriod)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-tb.Dying():
+				return nil
+			case <-signals:
+				d.reload(file, "signal")
+			case <-ticker.C:
+				if modifiedAt(file).Equal(modified) {
+					continue
+				}
+				d.reload(file, "file")
+			}
+			modified = modifiedAt(file)
+		}
+	})
+	return func() {
+		tb.Kill(nil)
+		_ = tb.Wait()
+	}
+}
+
+func modifiedAt(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{} // The next reload tells why.
+	}
+	return info.ModTime()
+}
+
+// reload puts the settings in force that can change while the process runs. Wrong ones leave the former in force.
+func (d *directDaemon) reload(file, cause string) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		d.counters.Add("reload-refused", 1)
+		d.log.Error("reload-refused", zap.String("cause", cause), zap.Error(err))
+		return
+	}
+	s, err := directsettings.Decode(file, b)
+	if err != nil {
+		d.counters.Add("reload-refused", 1)
+		d.log.Error("reload-refused", zap.String("cause", cause), zap.Error(err))
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.engine.Register.Retention = time.Duration(s.FlowLifetime) + time.Duration(s.SettleTime)
+	d.engine.Placement.Hash = s.Placement == directsettings.PlacementHash
+	d.stopTimeout = time.Duration(s.StopTimeout)
+	d.counters.Add("reload-accepted", 1)
+	d.log.Info("reloaded", zap.String("cause", cause), zap.Duration("stop-timeout", d.stopTimeout),
+		zap.Duration("flow-lifetime", time.Duration(s.FlowLifetime)), zap.String("placement", s.Placement))
+}
--- /dev/null
+++ b/cmd/masticspard/direct_store.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/masticspar/masticspar/internal/register"
+	"github.com/masticspar/masticspar/internal/replica"
+	"github.com/masticspar/masticspar/platform/store"
+)
+
+// collectShare is the part of the shortest bound of the site in which changes of the store are collected, because
+// every call to the store has a price.
+const collectShare = 0.25
+
+func (d *directDaemon) startStore() (func(), error) {
+	client, closeClient := store.New(d.settings.Store.String())
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, stop := replica.New(replica.Config{
+		Read: client.Read, Watch: client.Watch, Configuration: client.Configuration, Now: d.timer.Now,
+		Wait:     d.settings.StoreWait(),
+		Collect:  time.Duration(collectShare * float64(d.settings.Bound())),
+		Peer:     d.fetchPicture,
+		Adopt:    d.adopt,
+		Replace:  d.replace,
+		Apply:    d.apply,
+		Reader:   d.reader,
+		Lost:     d.storeLost,
+		Regained: d.storeRegained,
+		Counters: d.counters,
+	})
+	d.replica = r
+	return func() {
+		stop()
+		closeClient()
+	}, nil
+}
+
+// reader reports whether this entry VM waits for changes of the store itself.
+func (d *directDaemon) reader() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.peers == nil || d.peers.group.Reader(d.timer.Now())
+}
+
+func (d *directDaemon) storeLost(reason error) {
+	d.log.Warn("store-lost", zap.String("reason", reason.Error()))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.peers != nil {
+		d.peers.group.Lost()
+	}
+}
+
+func (d *directDaemon) storeRegained(outage time.Duration) {
+	d.log.Info("store-regained", zap.Duration("outage", outage))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.engine.Register.Postpone(d.timer.Now())
+}
+
+// replace puts a complete reading of the store in force.
+func (d *directDaemon) replace(changes []register.Change, revision uint64, away bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.learn(changes, func(now time.Duration) { d.engine.Register.Replace(now, changes, revision, away) })
+	d.log.Info("picture-read", zap.Int("entries", len(changes)), zap.Uint64("revision", revision), zap.Bool("away", away))
+	if d.peers != nil {
+		d.peers.group.Learned(d.timer.Now(), revision, revision, d.engine.Register.Version(), nil)
+	}
+}
+
+// apply puts changes of the store in force and passes them on.
+func (d *directDaemon) apply(changes []register.Change, since, revision uint64, away bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.learn(changes, func(now time.Duration) {
+		for _, c := range changes {
+			d.engine.Register.Apply(now, c, away)
+		}
+	})
+	if d.peers != nil {
+		d.peers.group.Learned(d.timer.Now(), since, revision, d.engine.Register.Version(), changes)
+	}
+}
+
+// adopt puts the picture of another entry VM in force. It is not announced, because its age is not known.
+func (d *directDaemon) adopt(changes []register.Change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.learn(changes, func(now time.Duration) {
+		for _, c := range changes {
+			d.engine.Register.Apply(now, c, true)
+		}
+	})
+}
+
+// learn logs what is wrong with changes and what their application by put altered.
+func (d *directDaemon) learn(changes []register.Change, put func(now time.Duration)) {
+	for _, c := range changes {
+		if c.Fault != "" {
+			d.counters.Add("entries-refused", 1)
+			d.log.Warn("entry-refused", zap.String("host", c.Name), zap.String("reason", c.Fault))
+		}
+	}
+	r := &d.engine.Register
+	before := r.Version()
+	d.contact = d.timer.Now()
+	put(d.contact)
+	if r.Version() != before {
+		d.counters.Add("configurations-accepted", 1)
+		d.log.Info("configuration-in-force", zap.Uint64("version", r.Version()), zap.Uint64("before", before))
+	}
+}
--- a/cmd/masticspard/direct_test.go
+++ b/cmd/masticspard/direct_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -19,17 +18,15 @@
 
 	directsettings "github.com/masticspar/masticspar/internal/direct/settings"
 	"github.com/masticspar/masticspar/internal/document"
+	"github.com/masticspar/masticspar/internal/register"
+	"github.com/masticspar/masticspar/internal/track"
 	standin "github.com/masticspar/masticspar/platform/standin/store"
+	"github.com/masticspar/masticspar/platform/standin/wire"
 )
 
-const (
-	directDeadline = 20 * time.Second
-	directRoute    = "198.18.0.1:443"
-	directConfig   = `{"version":%d,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","kind":"idempotent",` +
-		`"timeout_ms":1000,"target_latency_ms":150,"service":"standdesk"}]}`
-	directServer = `{"service":"standdesk","address":"%s","zone":"wa-perth","version":"v1","slots":2,"state":"%s",` +
-		`"cold_remaining_ms":0,"sequence":1,"born":%d}`
-)
+const directDeadline = 20 * time.Second
+
+var directRoute = netip.MustParseAddrPort("198.18.0.1:443")
 
 // directSite has a store, servers and callers as sockets on loopback addresses.
 type directSite struct {
@@ -46,10 +43,13 @@
 	t.Cleanup(server.Close)
 	s.address = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 	s.caller = s.udp("127.0.0.1:0")
-	s.store.Put("op/config", fmt.Appendf(nil, directConfig, 1))
+	s.configure(1, register.Route{
+		Name: "job-board", Address: directRoute, Idempotent: true, Timeout: time.Second, Goal: 150 * time.Millisecond,
+		Targets: []register.Target{{Service: "standdesk", Weight: 1}},
+	})
 	for _, name := range hosts {
 		s.hosts[name] = s.udp("127.0.0.1:0")
-		s.list(name, "ready")
+		s.list(name, false)
 	}
 	return s
 }
@@ -61,8 +61,15 @@
 	return c
 }
 
-func (s *directSite) list(name, state string) {
-	s.store.Put("servers/"+name, fmt.Appendf(nil, directServer, s.hosts[name].LocalAddr(), state, 1))
+func (s *directSite) configure(version uint64, routes ...register.Route) {
+	s.store.Put(wire.ConfigurationKey, wire.ConfigurationEntry(&register.Configuration{Version: version, Routes: routes}))
+}
+
+func (s *directSite) list(name string, leaving bool) {
+	s.store.Put(wire.HostKey(name), wire.HostEntry(&register.Host{
+		Service: "standdesk", Address: s.hosts[name].LocalAddr().(*net.UDPAddr).AddrPort(), AvailabilityZone: "wa-perth",
+		Slots: 2, Leaving: leaving, Started: 1,
+	}))
 }
 
 func (s *directSite) free(network string) netip.AddrPort {
@@ -118,21 +125,13 @@
 }
 
 // send sends a packet of a caller from the given port.
-func (s *directSite) send(to netip.AddrPort, port uint16, flags byte, token uint32) {
-	b := make([]byte, 32)
-	binary.BigEndian.PutUint32(b[12:], token)
-	b[18] = flags
-	binary.BigEndian.PutUint16(b[20:], port)
-	copy(b[22:], []byte{127, 0, 0, 1})
-	service := netip.MustParseAddrPort(directRoute)
-	address := service.Addr().As4()
-	binary.BigEndian.PutUint16(b[26:], service.Port())
-	copy(b[28:], address[:])
-	_, err := s.caller.WriteToUDPAddrPort(b, to)
+func (s *directSite) send(to netip.AddrPort, port uint16, p track.Packet) {
+	caller := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+	_, err := s.caller.WriteToUDPAddrPort(wire.Encode(&wire.Packet{Packet: p}, caller, directRoute), to)
 	must(s, err)
 }
 
-// receive returns the packet that a server got, without its prefix, or nil when none came.
+// receive returns the datagram that arrives at c, or nil when none came.
 func (s *directSite) receive(c *net.UDPConn, wait time.Duration) []byte {
 	b := make([]byte, 2048)
 	must(s, c.SetReadDeadline(time.Now().Add(wait)))
@@ -143,10 +142,16 @@
 	return b[:n]
 }
 
-const (
-	synFlag = 8
-	ackFlag = 2
-)
+// packet returns what a datagram to a server carries and the number of the server that it is for.
+func (s *directSite) packet(b []byte) (*wire.Packet, uint64) {
+	s.Helper()
+	if len(b) < wire.NumberSize {
+		s.Fatalf("datagram of %d bytes", len(b))
+	}
+	p, err := wire.Decode(b[wire.NumberSize:])
+	must(s, err)
+	return p, binary.BigEndian.Uint64(b)
+}
 
 // Guards against a path that does not work as a whole: two daemons, one of which has never seen the flow, a server that
 // leaves, and a route that is not there.
@@ -158,7 +163,7 @@
 	s.start(second)
 	s.until("ready", func() bool { return readyOf(first)() && readyOf(second)() })
 
-	s.send(first.DataAddress, 4000, synFlag, 0)
+	s.send(first.DataAddress, 4000, track.Packet{SYN: true})
 	var name string
 	var got []byte
 	s.until("SYN at a server", func() bool {
@@ -169,18 +174,22 @@
 		}
 		return got != nil
 	})
-	is.Equal(binary.BigEndian.Uint64(got), uint64(name[2]-'0'))
-	token := binary.BigEndian.Uint32(got[8+12:])
-	s.list(name, "draining")
-	s.send(second.DataAddress, 4000, ackFlag, token)
-	got = s.receive(s.hosts[name], directDeadline)
-	is.Equal(binary.BigEndian.Uint32(got[8+12:]), token)
+	syn, number := s.packet(got)
+	is.Equal(number, uint64(name[2]-'0'))
+	s.list(name, true)
+	s.send(second.DataAddress, 4000, track.Packet{ACK: true, Token: syn.Token})
+	p, _ := s.packet(s.receive(s.hosts[name], directDeadline))
+	is.Equal(p.Token, syn.Token)
 
-	s.store.Put("op/config", []byte(`{"version":2,"routes":[]}`))
+	s.configure(2)
 	s.until("reset without a route", func() bool {
-		s.send(first.DataAddress, 4001, synFlag, 0)
+		s.send(first.DataAddress, 4001, track.Packet{SYN: true})
 		b := s.receive(s.caller, 50*time.Millisecond)
-		return b != nil && b[18] == 128 && len(b) == 32
+		if b == nil {
+			return false
+		}
+		p, err := wire.Decode(b)
+		return err == nil && p.RST && p.Length == 0 && p.Sum == 0
 	})
 }
 
@@ -222,7 +231,7 @@
 	signals, done := make(chan os.Signal, 1), make(chan error, 1)
 	go func() { done <- d.drain(signals) }()
 	s.until("not ready", func() bool { return !readyOf(set)() })
-	s.send(set.DataAddress, 4000, synFlag, 0)
+	s.send(set.DataAddress, 4000, track.Packet{SYN: true})
 	is.True(s.receive(s.hosts["i-1"], directDeadline) != nil)
 	select {
 	case err := <-done:
--- a/cmd/masticspard/main.go
+++ b/cmd/masticspard/main.go
@@ -22,6 +22,9 @@
 	"github.com/masticspar/masticspar/internal/stream"
 )
 
+// memoryShare is the part of the VM's memory that the heap may take.
+const memoryShare = 0.6
+
 // Exit codes.
 const (
 	exitFailed   = 1
