Hold packets until the picture is there

A fresh entry VM dropped the packets of the 30 to 40 ms in which it reads the store, and packets of flows whose server another entry VM had learned of earlier; callers send them again after 200 ms at the earliest. They wait in a queue now, for 500 ms at most, and are decided about again when the picture changes.

--- a/cmd/masticspard/direct.go
+++ b/cmd/masticspard/direct.go
@@ -13,6 +13,7 @@
 	"github.com/masticspar/masticspar/internal/direct"
 	directsettings "github.com/masticspar/masticspar/internal/direct/settings"
 	"github.com/masticspar/masticspar/internal/fabric"
+	"github.com/masticspar/masticspar/internal/hold"
 	"github.com/masticspar/masticspar/internal/placement"
 	"github.com/masticspar/masticspar/internal/replica"
 	"github.com/masticspar/masticspar/internal/signal"
@@ -39,6 +40,7 @@
 	socket  *fabric.Socket
 	peers   *peers // nil when it works alone
 	replica *replica.Replica
+	held    hold.Queue
 	out     []byte
 	awake   time.Duration // end of the time after a pause in which SYNs are dropped
 
@@ -111,6 +113,7 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		d.engine.Tick(now)
+		d.expire(now)
 	})
 	return func() {
 		cancelTick()
--- a/cmd/masticspard/direct_packets.go
+++ b/cmd/masticspard/direct_packets.go
@@ -6,6 +6,8 @@
 
 	"github.com/masticspar/masticspar/internal/direct"
 	"github.com/masticspar/masticspar/internal/fabric"
+	"github.com/masticspar/masticspar/internal/hold"
+	"github.com/masticspar/masticspar/internal/track"
 )
 
 // packets takes a batch of the socket.
@@ -16,12 +18,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for i := range batch {
-		d.packet(now, batch[i].Bytes)
+		d.packet(now, now, batch[i].Bytes)
 	}
 	d.socket.Flush()
 }
 
-func (d *directDaemon) packet(now time.Duration, b []byte) {
+// packet carries out the decision about a packet that arrived at the given time.
+func (d *directDaemon) packet(now, arrived time.Duration, b []byte) {
 	p, err := d.codec.Decode(b)
 	if err != nil {
 		d.counters.Add("dropped-malformed", 1)
@@ -48,8 +51,38 @@
 		d.socket.Send(to, d.out, uint64(p.Token), now)
 		d.counters.Add("refused-"+v.Reason, 1)
 		d.logFlow(now, "flow-reset", &p, v)
+	case direct.Hold:
+		if d.held.Add(now, hold.Packet{Arrived: arrived, Bytes: b, Reason: v.Reason}) {
+			d.counters.Add("held-"+v.Reason, 1)
+			d.logFlow(now, "packet-held", &p, v)
+			return
+		}
+		d.dropped(now, &p, v)
 	default:
-		d.counters.Add("dropped-"+v.Reason, 1)
-		d.logFlow(now, "packet-dropped", &p, v)
+		d.dropped(now, &p, v)
+	}
+}
+
+func (d *directDaemon) dropped(now time.Duration, p *track.Packet, v direct.Verdict) {
+	d.counters.Add("dropped-"+v.Reason, 1)
+	d.logFlow(now, "packet-dropped", p, v)
+}
+
+// retry decides again about the packets that were held, after the picture has changed.
+func (d *directDaemon) retry(now time.Duration) {
+	for _, h := range d.held.Take() {
+		d.packet(now, h.Arrived, h.Bytes)
+	}
+	d.socket.Flush()
+}
+
+// expire drops the packets that were held for too long.
+func (d *directDaemon) expire(now time.Duration) {
+	for _, h := range d.held.Expire(now) {
+		p, err := d.codec.Decode(h.Bytes)
+		if err != nil {
+			continue // Packets that cannot be decoded are not held.
+		}
+		d.dropped(now, &p, direct.Verdict{Reason: h.Reason})
 	}
 }
--- a/cmd/masticspard/direct_store.go
+++ b/cmd/masticspard/direct_store.go
@@ -113,4 +113,5 @@
 		d.counters.Add("configurations-accepted", 1)
 		d.log.Info("configuration-in-force", zap.Uint64("version", r.Version()), zap.Uint64("before", before))
 	}
+	d.retry(d.contact)
 }
--- a/cmd/masticspard/direct_test.go
+++ b/cmd/masticspard/direct_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/masticspar/masticspar/internal/direct"
 	directsettings "github.com/masticspar/masticspar/internal/direct/settings"
 	"github.com/masticspar/masticspar/internal/document"
 	"github.com/masticspar/masticspar/internal/register"
@@ -193,6 +194,30 @@
 	})
 }
 
+// Guards against packets that are lost while a fresh daemon reads the store, and against a packet of a flow that is lost
+// because another entry VM learned of its server earlier. Callers would send them again only after 200 ms or more.
+func TestDirectHoldsPacketsForThePicture(t *testing.T) {
+	is := is.New(t)
+	s := newDirectSite(t, "i-1")
+	s.store.Misbehave(standin.Faults{Delay: 200 * time.Millisecond})
+	set := s.settings("entry-1")
+	d, _ := s.start(set)
+	s.send(set.DataAddress, 4000, track.Packet{SYN: true})
+	p, _ := s.packet(s.receive(s.hosts["i-1"], directDeadline))
+	is.True(p.SYN)
+
+	s.store.Misbehave(standin.Faults{})
+	s.until("ready", readyOf(set))
+	s.hosts["i-2"] = s.udp("127.0.0.1:0")
+	token := register.NewToken("i-2", 1)
+	s.send(set.DataAddress, 4001, track.Packet{ACK: true, Token: token})
+	held := d.counters.Counter("held-" + direct.UnknownToken)
+	s.until("held packet", func() bool { return held.Count() == 1 })
+	s.list("i-2", false)
+	p, _ = s.packet(s.receive(s.hosts["i-2"], directDeadline))
+	is.Equal(p.Token, token)
+}
+
 // Guards against a daemon that cannot start while the store is away, although another one runs.
 func TestDirectStartWithoutTheStore(t *testing.T) {
 	s := newDirectSite(t, "i-1")
--- a/cmd/masticspard/peers.go
+++ b/cmd/masticspard/peers.go
@@ -242,6 +242,9 @@
 	for _, c := range a.Apply {
 		d.engine.Register.Apply(now, c, false)
 	}
+	if len(a.Apply) > 0 {
+		d.retry(now)
+	}
 	if a.Revision > 0 {
 		d.replica.Advance(a.Revision)
 		d.counters.Add("announcements-applied", 1)
--- a/internal/direct/doc.go
+++ b/internal/direct/doc.go
@@ -6,5 +6,8 @@
 // packet without having seen the flow. A copy of the first packet goes to another server when there was time for an
 // answer, because a server that is dead or full does not answer.
 //
+// A packet that nothing is known about yet, at the start or because another entry VM learned of a server earlier, is held
+// until the picture changes.
+//
 // The Engine decides about one packet at a time, without sockets, goroutines or clock.
 package direct
--- a/internal/direct/engine.go
+++ b/internal/direct/engine.go
@@ -33,9 +33,10 @@
 	Drop Action = iota
 	Forward
 	Reset
+	Hold // until the picture changes
 )
 
-// Reasons of resets and drops besides those of placement.
+// Reasons of resets, drops and holds besides those of placement.
 const (
 	NoRoute      = "no-route"
 	NoPicture    = "no-picture"
@@ -52,7 +53,7 @@
 	Action Action
 	// Host gets a packet that is forwarded; its token goes into the packet.
 	Host *register.Lifetime
-	// Reason says why a packet is dropped or its flow reset.
+	// Reason says why a packet is dropped or held or its flow reset.
 	Reason string
 	// Again says that an earlier SYN of the flow went to another server.
 	Again bool
@@ -83,7 +84,7 @@
 	}
 	l := e.Register.Lifetime(p.Token)
 	if l == nil {
-		return Verdict{Reason: UnknownToken}
+		return Verdict{Action: Hold, Reason: UnknownToken}
 	}
 	repeated := e.Flows.Packet(now, p, l.Token)
 	if p.RST {
@@ -105,7 +106,7 @@
 
 func (e *Engine) open(now time.Duration, p *track.Packet) Verdict {
 	if e.Register.Version() == 0 {
-		return Verdict{Reason: NoPicture}
+		return Verdict{Action: Hold, Reason: NoPicture}
 	}
 	r := e.Register.Route(p.Service)
 	if r == nil {
