Go on with a reading at the page that the store refused

A reading started again with its first page after any failure, so that a large fleet that starts at once keeps the store at its limit.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -83,6 +83,7 @@
 	revision      uint64
 	synced        bool
 	configuration bool // the configuration alone is to be read
+	reading       reading
 
 	away     bool          // the last call failed
 	awayFrom time.Duration // start of the current outage
@@ -91,6 +92,14 @@
 	failures int
 }
 
+// reading is a complete reading that is under way. The store may refuse a page of it, because all processes of a large
+// fleet read at the same time; the next try goes on with this page.
+type reading struct {
+	next     string // position of the next page; empty before the first one
+	revision uint64 // of the first page: the pages are no snapshot, and changes since then come with the first wait
+	changes  []register.Change
+}
+
 // New starts to follow the store; the second result stops it.
 func New(c Config) (*Replica, func()) {
 	r := &Replica{Config: c}
@@ -133,7 +142,7 @@
 	if configuration {
 		r.configuration = true
 	} else {
-		r.synced = false
+		r.synced, r.reading = false, reading{}
 	}
 }
 
@@ -186,36 +195,39 @@
 			<-done
 		}()
 	}
-	var changes []register.Change
-	var revision uint64
-	for position := ""; ; {
+	r.mu.Lock()
+	current := r.reading
+	r.mu.Unlock()
+	for {
 		r.Counters.Add("store-reads", 1)
 		call, cancel := context.WithTimeout(ctx, readTimeout)
 		started := r.Now()
-		page, err := r.Read(call, position)
+		page, err := r.Read(call, current.next)
 		cancel()
 		r.Counters.Observe("store-read", r.Now()-started)
 		if err != nil {
+			r.mu.Lock()
+			r.reading = current
+			r.mu.Unlock()
 			pause := r.failed(err)
 			if r.Revision() > 0 {
 				r.ask(ctx)
 			}
 			return pause
 		}
-		// The pages are no snapshot. Changes since the first one come again with the first wait.
-		if position == "" {
-			revision = page.Revision
+		if current.next == "" {
+			current.revision = page.Revision
 		}
-		changes = append(changes, page.Changes...)
-		if position = page.Next; position == "" {
+		current.changes = append(current.changes, page.Changes...)
+		if current.next = page.Next; current.next == "" {
 			break
 		}
 	}
 	r.succeeded()
-	r.Replace(changes, revision, r.recentlyAway())
+	r.Replace(current.changes, current.revision, r.recentlyAway())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.revision, r.synced = max(r.revision, revision), true
+	r.revision, r.synced, r.reading = max(r.revision, current.revision), true, reading{}
 	return 0
 }
 
