Apply a large picture in linear time, and let moved servers take flows

Found on the way, each with a test that fails without the change: a server whose entry named another address took no flows any more and still owned the former address; one that shares its token with another, and the revision of an entry that could never be used, were kept for ever.

--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -121,6 +121,8 @@
 	First uint64
 	// Replaced says that the server ended for certain: its name or its address has a newer lifetime.
 	Replaced bool
+
+	listed bool // among the servers of its service that take new flows
 }
 
 // Register is the current picture; the zero value is empty and ready for use.
@@ -140,8 +142,9 @@
 	tokens    map[uint32]*Lifetime
 	addresses map[netip.AddrPort]*Lifetime
 	services  map[string][]*Lifetime
-	revisions map[string]uint64 // of the last change of each name
-	strangers map[string]Change // listed servers of services that no configuration names yet
+	revisions map[string]uint64      // of the last change of each name
+	strangers map[string]Change      // listed servers of services that no configuration names yet
+	former    map[*Lifetime]struct{} // those that Sweep looks at: lapsed and gone ones
 }
 
 // NewToken returns the token of a lifetime; it is never 0, which packets carry before they have a token.
@@ -182,7 +185,8 @@
 // Lifetime returns the lifetime with the given token or nil.
 func (r *Register) Lifetime(token uint32) *Lifetime { return r.tokens[token] }
 
-// Hosts returns the lifetimes of a service that take new flows; the caller must not change the list.
+// Hosts returns the lifetimes of a service that take new flows. The caller must not change the list, and the next change
+// of the picture does.
 func (r *Register) Hosts(service string) []*Lifetime { return r.services[service] }
 
 // Each calls f for each lifetime whose token is known.
@@ -256,6 +260,11 @@
 			r.Apply(now, Change{Name: name, Revision: revision}, away)
 		}
 	}
+	for name := range r.revisions {
+		if !named[name] && r.names[name] == nil { // Its entry could never be used.
+			delete(r.revisions, name)
+		}
+	}
 }
 
 // Sweep ends the lapse of servers that were not listed again and forgets former lifetimes.
@@ -267,24 +276,36 @@
 	if retention == 0 {
 		retention = DefaultRetention
 	}
-	for token, l := range r.tokens {
+	for l := range r.former {
 		switch {
 		case l.State == Lapsed && now-l.Since >= lapse:
 			r.set(now, l, Gone)
 		case l.State == Gone && now-l.Since >= retention:
-			delete(r.tokens, token)
-			if r.Forgotten != nil {
-				r.Forgotten(token)
-			}
-			if r.names[l.Name] == l {
-				delete(r.names, l.Name)
-				delete(r.revisions, l.Name)
-			}
-			if r.addresses[l.Address] == l {
-				delete(r.addresses, l.Address)
-			}
+			r.forget(l)
+		}
+	}
+}
+
+func (r *Register) forget(l *Lifetime) {
+	delete(r.former, l)
+	if l.Token != 0 {
+		delete(r.tokens, l.Token)
+		if r.Forgotten != nil {
+			r.Forgotten(l.Token)
 		}
 	}
+	if r.names[l.Name] == l {
+		delete(r.names, l.Name)
+		delete(r.revisions, l.Name)
+	}
+	r.vacate(l)
+}
+
+// vacate gives up the address of l.
+func (r *Register) vacate(l *Lifetime) {
+	if r.addresses[l.Address] == l {
+		delete(r.addresses, l.Address)
+	}
 }
 
 // Postpone restarts the lapse of all lapsed servers, while the store is away.
@@ -325,6 +346,7 @@
 	if r.names == nil {
 		r.names, r.tokens = map[string]*Lifetime{}, map[uint32]*Lifetime{}
 		r.addresses, r.services = map[netip.AddrPort]*Lifetime{}, map[string][]*Lifetime{}
+		r.former = map[*Lifetime]struct{}{}
 	}
 	h := c.Host
 	first := c.Created
@@ -340,6 +362,7 @@
 	moved := l.Address != h.Address || l.Service != h.Service
 	if moved {
 		r.remove(l)
+		r.vacate(l)
 	}
 	l.Host = *h
 	l.ColdUntil = now + h.Cold
@@ -348,7 +371,9 @@
 	if h.Leaving {
 		state = Leaving
 	}
-	return r.set(now, l, state) || moved
+	changed := r.set(now, l, state)
+	r.enlist(l)
+	return changed || moved
 }
 
 // add creates a lifetime. Of two lifetimes with one token the first keeps it; the other takes no flows.
@@ -362,6 +387,7 @@
 		r.tokens[l.Token] = l
 	}
 	r.names[h.Name] = l
+	r.former[l] = struct{}{}
 	return l
 }
 
@@ -389,21 +415,35 @@
 		return false
 	}
 	l.State, l.Since = s, now
-	r.remove(l)
-	if (s == Ready || s == Lapsed) && l.Token != 0 {
-		r.services[l.Service] = append(slices.Clip(r.services[l.Service]), l)
+	if s == Lapsed || s == Gone {
+		r.former[l] = struct{}{}
+	} else {
+		delete(r.former, l)
 	}
+	r.enlist(l)
 	if r.Changed != nil {
 		r.Changed(now, l, before)
 	}
 	return true
 }
 
+// enlist puts l among the servers of its service that take new flows, or takes it off.
+func (r *Register) enlist(l *Lifetime) {
+	if l.Token == 0 || l.State != Ready && l.State != Lapsed {
+		r.remove(l)
+	} else if !l.listed {
+		r.services[l.Service], l.listed = append(r.services[l.Service], l), true
+	}
+}
+
 func (r *Register) remove(l *Lifetime) {
-	list := r.services[l.Service]
-	if i := slices.Index(list, l); i >= 0 {
-		r.services[l.Service] = slices.Delete(slices.Clone(list), i, i+1)
+	if !l.listed {
+		return
 	}
+	l.listed = false
+	list := r.services[l.Service]
+	i := slices.Index(list, l)
+	r.services[l.Service] = slices.Delete(list, i, i+1)
 	if len(r.services[l.Service]) == 0 {
 		delete(r.services, l.Service)
 	}
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -31,6 +31,46 @@
 	return list
 }
 
+// Guards against memory that servers take for ever: one without a token, because another one has it, and one whose entry
+// could never be used.
+func TestFormerServersAreForgotten(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	first := Host{Name: "i-1", Service: "standdesk", Address: netip.MustParseAddrPort("10.0.0.1:80"), Started: 1}
+	second := Host{Name: "i-2", Service: "standdesk", Address: netip.MustParseAddrPort("10.0.0.2:80"), Started: 1}
+	r.Apply(0, Change{Name: first.Name, Revision: 1, Created: 1, Host: &first}, false)
+	r.tokens[NewToken(second.Name, 1)] = r.names[first.Name] // As if both had one token.
+	r.Apply(0, Change{Name: second.Name, Revision: 2, Created: 2, Host: &second}, false)
+	is.Equal(len(r.Hosts("standdesk")), 1)
+	r.Apply(0, Change{Name: "i-3", Revision: 3, Fault: "state"}, false)
+	delete(r.tokens, NewToken(second.Name, 1))
+	r.Replace(0, nil, 9, false)
+	is.Equal(len(r.revisions), 2)
+	r.Sweep(DefaultRetention)
+	is.Equal(len(r.names)+len(r.tokens)+len(r.revisions)+len(r.addresses)+len(r.former), 0)
+}
+
+// Guards against a server that takes no flows any more after its entry named another address or service.
+func TestServerThatMoves(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	h := Host{Name: "i-1", Service: "standdesk", Address: netip.MustParseAddrPort("10.0.0.1:80"), Started: 1}
+	r.Apply(0, Change{Name: h.Name, Revision: 1, Created: 1, Host: &h}, false)
+	moved := h
+	moved.Address = netip.MustParseAddrPort("10.0.0.2:80")
+	r.Apply(0, Change{Name: h.Name, Revision: 2, Created: 1, Host: &moved}, false)
+	is.Equal(len(r.Hosts("standdesk")), 1)
+	is.Equal(r.Hosts("standdesk")[0].Address, moved.Address)
+	other := Host{Name: "i-2", Service: "standdesk", Address: h.Address, Started: 1}
+	r.Apply(0, Change{Name: other.Name, Revision: 3, Created: 3, Host: &other}, false)
+	is.Equal(len(r.Hosts("standdesk")), 2) // The address was free.
+	r.Apply(0, Change{Name: other.Name, Revision: 4}, false)
+	moved.Service = "photointake"
+	r.Apply(0, Change{Name: h.Name, Revision: 5, Created: 1, Host: &moved}, false)
+	is.Equal(len(r.Hosts("standdesk")), 0)
+	is.Equal(len(r.Hosts("photointake")), 1)
+}
+
 // Guards against a leaving server that gets new flows, and against flows of a leaving server that are lost.
 func TestLeavingServerKeepsItsFlows(t *testing.T) {
 	is := is.New(t)
