Ask another entry VM for its picture only when the store is slow

Each fresh process asked the few contacts at once. A fresh process waits 150 ms for the first page now, and pages that are left are not read once another process has told the state.

A process that had to read again and was refused took over the picture of another one by adding to its own, and kept servers that had left meanwhile: a picture that is not older than what is known replaces it now, and an older one does not end the reading. Found by reading; the tests fail without the changes.

--- a/cmd/masticspard/direct_store.go
+++ b/cmd/masticspard/direct_store.go
@@ -86,11 +86,16 @@
 	}
 }
 
-// adopt puts the picture of another entry VM in force. It is not announced, because its age is not known.
-func (d *directDaemon) adopt(changes []register.Change) {
+// adopt puts the picture of another entry VM in force. It is not announced, because its age is not known. Servers that a
+// complete one does not name may have lapsed there.
+func (d *directDaemon) adopt(changes []register.Change, revision uint64, complete bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.learn(changes, func(now time.Duration) {
+		if complete {
+			d.engine.Register.Replace(now, changes, revision, true)
+			return
+		}
 		for _, c := range changes {
 			d.engine.Register.Apply(now, c, true)
 		}
--- a/cmd/masticspard/direct_test.go
+++ b/cmd/masticspard/direct_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -232,6 +233,28 @@
 	s.until("ready with the picture of the other", readyOf(second))
 }
 
+// Guards against a server that is kept for ever, because it left while this daemon could read only another one's picture.
+func TestDirectAdoptsWhatIsGone(t *testing.T) {
+	is := is.New(t)
+	s := newDirectSite(t, "i-1", "i-2")
+	set := s.settings("entry-1")
+	d, _ := s.start(set)
+	s.until("ready", readyOf(set))
+	hosts := func() int {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return len(d.engine.Register.Hosts("standdesk"))
+	}
+	s.until("two servers", func() bool { return hosts() == 2 })
+	d.mu.Lock()
+	changes := slices.DeleteFunc(d.engine.Register.Changes(), func(c register.Change) bool { return c.Name == "i-2" })
+	d.mu.Unlock()
+	d.adopt(changes, d.replica.Revision()+5, false)
+	is.Equal(hosts(), 2)
+	d.adopt(changes, d.replica.Revision()+5, true)
+	s.until("one server", func() bool { return hosts() == 1 })
+}
+
 // Guards against wrong settings that take the place of good ones, and against a signal that ends the process.
 func TestDirectReload(t *testing.T) {
 	is := is.New(t)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -27,6 +27,9 @@
 	// firstDelay and lastDelay bound the time between two tries; every call counts against the limit of the store.
 	firstDelay = 100 * time.Millisecond
 	lastDelay  = 1200 * time.Millisecond
+	// peerDelay is how long a fresh process waits for the first page of the store before it asks another process. A whole
+	// fleet that starts at once would otherwise read the pictures of the few contacts.
+	peerDelay = 150 * time.Millisecond
 	// idlePause is the time between two looks whether this process has to read.
 	idlePause = 200 * time.Millisecond
 	// recentAway is how long after an outage a vanished entry may only have lapsed.
@@ -57,8 +60,9 @@
 	Replace func(changes []register.Change, revision uint64, away bool)
 	// Apply takes the changes after since up to revision, in order; there may be none.
 	Apply func(changes []register.Change, since, revision uint64, away bool)
-	// Adopt takes the reading of another process, which may be older than what is known.
-	Adopt func(changes []register.Change)
+	// Adopt takes the reading of another process at a revision. It may be older than what is known; otherwise it is complete,
+	// and servers that it does not name are gone.
+	Adopt func(changes []register.Change, revision uint64, complete bool)
 	// Reader reports whether this process has to wait for changes itself; nil says that it has.
 	Reader func() bool
 	// Lost and Regained are called once for each outage.
@@ -180,40 +184,23 @@
 	return 0
 }
 
+// read makes or goes on with a complete reading.
 func (r *Replica) read(ctx context.Context) time.Duration {
-	if r.Revision() == 0 && r.Peer != nil {
-		// A fresh process must not wait for the timeout of the store.
-		asked, cancel := context.WithCancel(ctx)
-		done := make(chan struct{})
-		r.tb.Go(func() error {
-			defer close(done)
-			r.ask(asked)
-			return nil
-		})
-		defer func() {
-			cancel()
-			<-done
-		}()
-	}
 	r.mu.Lock()
-	current := r.reading
+	current, fresh := r.reading, r.revision == 0
 	r.mu.Unlock()
 	for {
-		r.Counters.Add("store-reads", 1)
-		call, cancel := context.WithTimeout(ctx, readTimeout)
-		started := r.Now()
-		page, err := r.Read(call, current.next)
-		cancel()
-		r.Counters.Observe("store-read", r.Now()-started)
+		answered := func() {}
+		if fresh && current.next == "" && r.Peer != nil {
+			answered = r.hedge(ctx)
+		}
+		page, err := r.page(ctx, current.next)
+		answered()
 		if err != nil {
-			r.mu.Lock()
-			r.reading = current
-			r.mu.Unlock()
-			pause := r.failed(err)
-			if r.Revision() > 0 {
-				r.ask(ctx)
-			}
-			return pause
+			return r.interrupted(ctx, current, err)
+		}
+		if fresh && page.Next != "" && r.adopted() {
+			return 0 // Another process was faster than the rest would be.
 		}
 		if current.next == "" {
 			current.revision = page.Revision
@@ -231,6 +218,54 @@
 	return 0
 }
 
+func (r *Replica) page(ctx context.Context, after string) (Page, error) {
+	r.Counters.Add("store-reads", 1)
+	call, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	started := r.Now()
+	page, err := r.Read(call, after)
+	r.Counters.Observe("store-read", r.Now()-started)
+	return page, err
+}
+
+// interrupted keeps a reading that the store did not let finish, and asks another process meanwhile.
+func (r *Replica) interrupted(ctx context.Context, current reading, err error) time.Duration {
+	r.mu.Lock()
+	r.reading = current
+	r.mu.Unlock()
+	pause := r.failed(err)
+	if !r.adopted() {
+		r.ask(ctx)
+	}
+	return pause
+}
+
+// adopted reports whether the state is known, which another process may have told while the store was read.
+func (r *Replica) adopted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.synced
+}
+
+// hedge asks another process for its picture if the store does not answer soon; the result ends that.
+func (r *Replica) hedge(ctx context.Context) func() {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	r.tb.Go(func() error {
+		defer close(done)
+		select {
+		case <-time.After(peerDelay):
+			r.ask(ctx)
+		case <-ctx.Done():
+		}
+		return nil
+	})
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 func (r *Replica) watch(ctx context.Context) time.Duration {
 	r.Counters.Add("store-watches", 1)
 	call, cancel := context.WithTimeout(ctx, r.Wait+watchMargin)
@@ -254,8 +289,7 @@
 	return r.Collect
 }
 
-// ask puts the reading of another process in force, while the store does not answer. Its changes are only added, because
-// they may be older than what is known.
+// ask puts the reading of another process in force, while the store does not answer.
 func (r *Replica) ask(ctx context.Context) {
 	if r.Peer == nil {
 		return
@@ -269,12 +303,13 @@
 	if ctx.Err() != nil {
 		return // The store was faster.
 	}
-	r.Adopt(page.Changes)
+	complete := page.Revision >= r.Revision()
+	r.Adopt(page.Changes, page.Revision, complete)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.configuration = false
-	if !r.synced {
-		r.revision, r.synced = max(r.revision, page.Revision), true
+	if complete && !r.synced {
+		r.revision, r.synced, r.reading = max(r.revision, page.Revision), true, reading{}
 	}
 }
 
