Let trials of silent servers back off

The pause doubles to 4 s now, a copy of a SYN is no trial, and a server that is listed again starts anew.

--- a/internal/direct/engine.go
+++ b/internal/direct/engine.go
@@ -74,6 +74,17 @@
 // Start connects the parts; it is called once.
 func (e *Engine) Start() {
 	e.Register.Forgotten = e.Placement.Forget
+	changed := e.Register.Changed
+	e.Register.Changed = func(now time.Duration, l *register.Lifetime, before register.State) {
+		if before == register.Gone || before == register.Lapsed {
+			if l.State == register.Ready {
+				e.Placement.Relisted(now, l.Token)
+			}
+		}
+		if changed != nil {
+			changed(now, l, before)
+		}
+	}
 	e.Flows.Observe = func(now time.Duration, ev signal.Event) { e.Placement.Observe(now, ev) }
 }
 
--- a/internal/placement/model_test.go
+++ b/internal/placement/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -184,3 +185,71 @@
 		t.Fatal("the silent server got a second trial flow at once")
 	}
 }
+
+// wait has entry VM m open a flow, whose SYN is sent again after 200 and 600 ms while only the silent servers get it, and
+// returns how long the caller waits for a server that answers.
+func wait(m *Model, now time.Duration, hosts []*register.Lifetime, silent map[uint32]bool, hash uint64) time.Duration {
+	var tried []uint32
+	for _, after := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
+		h, _ := m.Pick(now+after, hosts, Flow{Hash: hash, Goal: 400 * time.Millisecond, Tried: tried})
+		m.Observe(now+after, signal.Event{Kind: signal.Opened, Host: h.Token})
+		if !silent[h.Token] {
+			m.Observe(now+after+time.Millisecond, signal.Event{Kind: signal.Accepted, Host: h.Token, Elapsed: time.Millisecond})
+			return after
+		}
+		tried = append(tried, h.Token)
+		m.Observe(now+after+200*time.Millisecond, signal.Event{
+			Kind: signal.Unanswered, Host: h.Token, Elapsed: 200 * time.Millisecond,
+		})
+	}
+	return time.Second
+}
+
+// Guards against callers that pay for servers that have gone dark, at an entry VM of a large fleet with few new flows of its
+// own: six of its 24 servers are silent for 10 s, and each trial costs a caller 200 ms.
+func TestTrialsOfSilentServersAreFew(t *testing.T) {
+	const perSecond, silentFor = 8, 10
+	for seed := range uint64(5) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		hosts := lifetimes(slices.Repeat([]string{homeZone}, 24)...)
+		m := Model{AvailabilityZone: homeZone}
+		silent := map[uint32]bool{1: true, 2: true, 3: true, 4: true, 5: true, 6: true}
+		for _, h := range hosts[len(silent):] { // The others are at work, so that the silent ones look best.
+			m.Observe(time.Second, signal.Event{Kind: signal.Requested, Host: h.Token})
+		}
+		late, twice := 0, 0
+		for i := range perSecond * silentFor {
+			switch d := wait(&m, time.Second+time.Duration(i)*time.Second/perSecond, hosts, silent, random.Uint64()); {
+			case d > 200*time.Millisecond:
+				twice++
+			case d > 0:
+				late++
+			}
+		}
+		// A server is noticed once and tried after 1, 3 and 7 s.
+		if bound := 4 * len(silent); late+twice > bound {
+			t.Errorf("seed %d: %d flows waited for silent servers, want %d at most", seed, late+twice, bound)
+		}
+		if twice > len(silent)/2 { // The copy of a SYN can only find a silent server that nobody has tried yet.
+			t.Errorf("seed %d: %d flows waited for two silent servers", seed, twice)
+		}
+	}
+}
+
+// Guards against a server that rests although it has been listed again after an outage.
+func TestRelistedServerGetsFlows(t *testing.T) {
+	m := Model{AvailabilityZone: homeZone}
+	hosts := lifetimes(homeZone, homeZone)
+	now := time.Second
+	m.Observe(now, signal.Event{Kind: signal.Unanswered, Host: 1, Elapsed: 0})
+	for range 20 {
+		m.Observe(now, signal.Event{Kind: signal.Requested, Host: 2})
+	}
+	if h, _ := m.Pick(now, hosts, Flow{}); h.Token != 2 {
+		t.Fatal("a server that was silent just now got a flow")
+	}
+	m.Relisted(now, 1)
+	if h, _ := m.Pick(now, hosts, Flow{}); h.Token != 1 {
+		t.Fatal("the server that was listed again got no flow")
+	}
+}
