Ask other entry VMs for tokens that this one does not know

A fresh process asks up to three others for a token now while the packet is held; they know the server and whether it ended for certain. Ruled out: resetting unknown tokens, since a server may live that the register lists a moment later; whole pictures, which are too large to fetch for one token.

The tests fail without the change.

--- a/cmd/masticspard/direct_packets.go
+++ b/cmd/masticspard/direct_packets.go
@@ -55,6 +55,9 @@
 		if d.held.Add(now, hold.Packet{Arrived: arrived, Bytes: b, Reason: v.Reason}) {
 			d.counters.Add("held-"+v.Reason, 1)
 			d.logFlow(now, "packet-held", &p, v)
+			if v.Reason == direct.UnknownToken && d.peers != nil {
+				d.peers.asker.Missing(now, p.Token)
+			}
 			return
 		}
 		d.dropped(now, &p, v)
--- a/cmd/masticspard/direct_test.go
+++ b/cmd/masticspard/direct_test.go
@@ -219,6 +219,38 @@
 	is.Equal(p.Token, token)
 }
 
+// Guards against callers that wait for a server that ended before a daemon started, which only another daemon knows of.
+func TestDirectAsksForUnknownTokens(t *testing.T) {
+	is := is.New(t)
+	s := newDirectSite(t, "i-1")
+	first := s.settings("entry-1")
+	s.start(first)
+	s.until("ready", readyOf(first))
+	// The server starts again under its name; its former token must be answered with a reset.
+	s.store.Put(wire.HostKey("i-1"), wire.HostEntry(&register.Host{
+		Service: "standdesk", Address: s.hosts["i-1"].LocalAddr().(*net.UDPAddr).AddrPort(), AvailabilityZone: "wa-perth",
+		Slots: 2, Started: 2,
+	}))
+	former := track.Packet{ACK: true, Token: register.NewToken("i-1", 1)}
+	reset := func(to netip.AddrPort) bool {
+		s.send(to, 4000, former)
+		b := s.receive(s.caller, 300*time.Millisecond)
+		if b == nil {
+			return false
+		}
+		p, err := wire.Decode(b)
+		return err == nil && p.RST
+	}
+	s.until("reset by the first daemon", func() bool { return reset(first.DataAddress) })
+	second := s.settings("entry-2", first.PeerAddress)
+	second.PeerAddress = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), first.PeerAddress.Port())
+	d, logs := s.start(second)
+	s.until("ready", readyOf(second))
+	s.until("reset by the second daemon", func() bool { return reset(second.DataAddress) })
+	is.Equal(logs.FilterMessage("former-server-learned").Len(), 1)
+	is.True(d.counters.Counter("lookup-tokens-asked").Count() > 0)
+}
+
 // Guards against a daemon that cannot start while the store is away, although another one runs.
 func TestDirectStartWithoutTheStore(t *testing.T) {
 	s := newDirectSite(t, "i-1")
--- a/cmd/masticspard/peers.go
+++ b/cmd/masticspard/peers.go
@@ -15,6 +15,7 @@
 	"github.com/masticspar/masticspar/internal/direct"
 	directsettings "github.com/masticspar/masticspar/internal/direct/settings"
 	"github.com/masticspar/masticspar/internal/fabric"
+	"github.com/masticspar/masticspar/internal/lookup"
 	"github.com/masticspar/masticspar/internal/member"
 	"github.com/masticspar/masticspar/internal/picture"
 	"github.com/masticspar/masticspar/internal/replica"
@@ -24,9 +25,10 @@
 const (
 	kindMembership byte = iota + 1
 	kindAnnouncement
+	kindLookup
 )
 
-// maxSources is the number of entry VMs that are asked for a picture in one go.
+// maxSources is the number of entry VMs that are asked for a picture or a token in one go.
 const maxSources = 3
 
 // otherZones is the number of rounds of pings of which one leaves the availability zone. Announcements stay in the zone, and
@@ -40,6 +42,7 @@
 type peers struct {
 	list     member.List
 	group    announce.Group
+	asker    lookup.Asker
 	socket   *fabric.Socket
 	counters *counter.Set
 	log      *zap.Logger
@@ -80,6 +83,12 @@
 	p.send(to, kindAnnouncement, b, err)
 }
 
+func (p *peers) sendLookup(to netip.AddrPort, m *lookup.Message) {
+	m.From = p.list.Self.Control
+	b, err := lookup.Encode(m)
+	p.send(member.Member{Control: to}, kindLookup, b, err)
+}
+
 func (p *peers) send(to member.Member, kind byte, b []byte, err error) {
 	if err != nil {
 		p.counters.Add("messages-not-encoded", 1)
@@ -111,6 +120,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "peer-address")
 	}
+	p.asker = lookup.Asker{Ask: d.askPeers, Know: d.engine.Register.Former}
 	p.socket, d.peers = socket, p
 	p.list.Start(d.timer.Now(), contacts(s))
 	p.group.Members(p.list.Alive())
@@ -119,6 +129,7 @@
 		defer d.mu.Unlock()
 		p.list.Tick(now)
 		p.group.Tick(now)
+		p.asker.Tick(now)
 		p.socket.Flush()
 	})
 	cancelPause := d.timer.OnPause(func(now, _ time.Duration) {
@@ -155,7 +166,10 @@
 // fetchPicture asks other entry VMs, one after the other, for their picture.
 func (d *directDaemon) fetchPicture(ctx context.Context) (replica.Page, error) {
 	err := errors.New("no other entry VM is known")
-	for _, address := range d.pictureSources() {
+	d.mu.Lock()
+	sources := d.sources()
+	d.mu.Unlock()
+	for _, address := range sources {
 		var p *picture.Picture
 		if p, err = picture.Fetch(ctx, address); err != nil {
 			continue
@@ -167,11 +181,9 @@
 	return replica.Page{}, errors.Trace(err)
 }
 
-// pictureSources returns some entry VMs in random order, one of each availability zone at most and the own zone first.
-// A fresh process knows its contacts only.
-func (d *directDaemon) pictureSources() []netip.AddrPort {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+// sources returns some entry VMs in random order, one of each availability zone at most and the own zone first. A fresh
+// process knows its contacts only.
+func (d *directDaemon) sources() []netip.AddrPort {
 	if d.peers == nil {
 		return nil
 	}
@@ -233,6 +245,12 @@
 			return err
 		}
 		d.announced(now, m)
+	case kindLookup:
+		m, err := lookup.Decode(b[1:])
+		if err != nil {
+			return err
+		}
+		d.lookedUp(now, m)
 	default:
 		return errors.Errorf("unknown kind %d", b[0])
 	}
@@ -260,3 +278,31 @@
 		d.replica.Again(true)
 	}
 }
+
+// askPeers asks other entry VMs for the servers of tokens.
+func (d *directDaemon) askPeers(m *lookup.Message) {
+	d.counters.Add("lookup-tokens-asked", int64(len(m.Tokens)))
+	for _, to := range d.sources() {
+		d.peers.sendLookup(to, m)
+	}
+}
+
+// lookedUp answers a question of another entry VM or puts an answer in force.
+func (d *directDaemon) lookedUp(now time.Duration, m *lookup.Message) {
+	if answer := d.peers.asker.Answer(m); answer != nil {
+		d.peers.sendLookup(m.From, answer)
+	}
+	learned := false
+	for i := range m.Servers {
+		f := &m.Servers[i]
+		if d.engine.Register.Remember(now, f) {
+			learned = true
+			d.counters.Add("lookup-tokens-learned", 1)
+			d.log.Info("former-server-learned", zap.String("host", f.Host.Name), zap.Int64("started", f.Host.Started),
+				zap.Stringer("address", f.Host.Address), zap.Bool("replaced", f.Replaced), zap.Stringer("source", m.From))
+		}
+	}
+	if learned {
+		d.retry(now)
+	}
+}
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -343,11 +343,7 @@
 }
 
 func (r *Register) list(now time.Duration, c *Change) bool {
-	if r.names == nil {
-		r.names, r.tokens = map[string]*Lifetime{}, map[uint32]*Lifetime{}
-		r.addresses, r.services = map[netip.AddrPort]*Lifetime{}, map[string][]*Lifetime{}
-		r.former = map[*Lifetime]struct{}{}
-	}
+	r.prepare()
 	h := c.Host
 	first := c.Created
 	l := r.names[h.Name]
@@ -376,8 +372,21 @@
 	return changed || moved
 }
 
-// add creates a lifetime. Of two lifetimes with one token the first keeps it; the other takes no flows.
+func (r *Register) prepare() {
+	if r.names == nil {
+		r.names, r.tokens = map[string]*Lifetime{}, map[uint32]*Lifetime{}
+		r.addresses, r.services = map[netip.AddrPort]*Lifetime{}, map[string][]*Lifetime{}
+		r.former = map[*Lifetime]struct{}{}
+	}
+}
+
+// add creates a lifetime, or takes the one that Remember has added. Of two lifetimes with one token the first keeps it; the
+// other takes no flows.
 func (r *Register) add(now time.Duration, h *Host, first uint64) *Lifetime {
+	if l := r.tokens[NewToken(h.Name, h.Started)]; l != nil && l.Name == h.Name && l.Started == h.Started {
+		r.names[h.Name] = l
+		return l
+	}
 	l := &Lifetime{
 		Host: *h, Token: NewToken(h.Name, h.Started), State: Gone, Since: now, Seen: now, First: first,
 	}
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -31,6 +31,28 @@
 	return list
 }
 
+// Guards against flows to a server that is only remembered, a reset of flows to one that may live, and a server that cannot
+// be listed because it was remembered before.
+func TestRememberedServers(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	h := Host{Name: "i-1", Service: "standdesk", Address: netip.MustParseAddrPort("10.0.0.1:80"), Started: 1}
+	is.True(r.Remember(0, &Former{Host: h, First: 3}))
+	is.True(!r.Remember(0, &Former{Host: h, First: 3}))
+	l := r.Lifetime(NewToken(h.Name, h.Started))
+	is.Equal(len(r.Hosts("standdesk")), 0)
+	is.True(!l.Replaced)
+	r.Apply(0, Change{Name: h.Name, Revision: 9, Created: 3, Host: &h}, false)
+	is.Equal(r.Hosts("standdesk"), []*Lifetime{l})
+	other := h
+	other.Name = "i-2" // It had the address before.
+	is.True(r.Remember(0, &Former{Host: other, First: 2}))
+	is.True(r.Lifetime(NewToken(other.Name, 1)).Replaced)
+	r.Apply(0, Change{Name: h.Name, Revision: 10}, false)
+	r.Sweep(DefaultRetention)
+	is.Equal(len(r.tokens)+len(r.former), 0)
+}
+
 // Guards against memory that servers take for ever: one without a token, because another one has it, and one whose entry
 // could never be used.
 func TestFormerServersAreForgotten(t *testing.T) {
