Show the token mode in the demo

make demo knew the mode with owners only. Ruled out: a second demo program, which would start the same stand-ins.

--- a/Makefile
+++ b/Makefile
@@ -37,8 +37,10 @@
 	@go build -o bin/ ./cmd/soak ./cmd/masticspard
 	@bin/soak --seed $(SEED) --duration $(DURATION)
 
+# The mode with owners, then the token mode on stand-ins of the users' platform.
 demo: build
 	bin/demo --binaries bin
+	bin/soak --daemons 3 --faults kill,roll,server-leaves,server-crashes,route,store-down
 
 # Figures of all scenarios in virtual time; the same on every run.
 measure:
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -1,14 +1,18 @@
 package main
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/masticspar/masticspar/platform/standin/store"
 	"github.com/masticspar/masticspar/platform/standin/wire"
 )
@@ -18,6 +22,8 @@
 	gap = 1200 * time.Millisecond
 	// shortest and longest bound the time of a fault.
 	shortest, longest = 300 * time.Millisecond, 4 * time.Second
+	// seriesLength is the time of each fault of a series.
+	seriesLength = 1500 * time.Millisecond
 	// serveOn is how long a server goes on after it was published as leaving.
 	serveOn = drainBound + time.Second
 	// crashLapse is the time after which the entry of a crashed server vanishes.
@@ -36,9 +42,8 @@
 	start func(random *rand.Rand, length time.Duration) func()
 }
 
-// disturb injects faults until the given time and waits for all of them to end.
-func (s *site) disturb(random *rand.Rand, end time.Time) {
-	kinds := []fault{
+func (s *site) kinds() []fault {
+	return []fault{
 		{"kill", s.killDaemon},
 		{"roll", s.rollDaemon},
 		{"pause", s.pauseDaemon},
@@ -51,6 +56,11 @@
 		{"server-cut", s.serverCut},
 		{"route", s.changeRoute},
 	}
+}
+
+// disturb injects faults until the given time and waits for all of them to end.
+func (s *site) disturb(random *rand.Rand, end time.Time) {
+	kinds := s.kinds()
 	var group sync.WaitGroup
 	for time.Now().Before(end) {
 		f := kinds[random.IntN(len(kinds))]
@@ -67,6 +77,37 @@
 	group.Wait()
 }
 
+// checkFaults returns an error that names the first fault that does not exist, and all that do.
+func checkFaults(names []string) error {
+	var known []string
+	for _, f := range (&site{}).kinds() {
+		known = append(known, f.name)
+	}
+	for _, name := range names {
+		if !slices.Contains(known, name) {
+			return errors.Errorf("fault %q is none of %s", name, strings.Join(known, ", "))
+		}
+	}
+	return nil
+}
+
+// series injects the named faults one after the other and tells of each.
+func (s *site) series(random *rand.Rand, names []string) {
+	for _, name := range names {
+		for _, f := range s.kinds() {
+			if f.name != name {
+				continue
+			}
+			fmt.Println("fault:", name)
+			if stop := f.start(random, seriesLength); stop != nil {
+				s.faults[name]++
+				time.Sleep(seriesLength)
+				stop()
+			}
+		}
+	}
+}
+
 // heal ends what is still disturbed.
 func (s *site) heal() {
 	s.store.Misbehave(store.Faults{})
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -30,7 +31,16 @@
 	flaggy.Int(&o.Servers, "", "servers", "number of backend servers")
 	flaggy.Int(&o.Callers, "", "callers", "number of callers, with three users each")
 	flaggy.String(&o.Logs, "l", "logs", "directory that gets the logs of the daemons")
+	faults := ""
+	flaggy.String(&faults, "f", "faults", "faults to inject one after the other, with commas, in place of a plan from the seed")
 	flaggy.Parse()
+	if faults != "" {
+		o.Faults = strings.Split(faults, ",")
+	}
+	if err := checkFaults(o.Faults); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(2)
+	}
 	if o.Daemons < 1 || o.Daemons > maxDaemons || o.Servers < 2 || o.Servers > maxServers || o.Callers < 1 ||
 		o.Callers > maxServers || o.Duration <= 0 || o.Duration > maxDuration {
 		fmt.Fprintf(os.Stderr, "soak: 1 to %d daemons, 2 to %d servers, 1 to %d callers, at most %v\n", maxDaemons, maxServers,
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -19,6 +19,7 @@
 	Seed                      uint64
 	Duration                  time.Duration
 	Daemons, Servers, Callers int
+	Faults                    []string // in this order, in place of a plan from the seed
 }
 
 // report is what a run found.
@@ -92,7 +93,12 @@
 			group.Go(func() { s.user(c, rand.New(rand.NewPCG(o.Seed, uint64(i*users+j))), done) })
 		}
 	}
-	s.disturb(rand.New(rand.NewPCG(o.Seed, 1<<32)), time.Now().Add(o.Duration))
+	random := rand.New(rand.NewPCG(o.Seed, 1<<32))
+	if len(o.Faults) > 0 {
+		s.series(random, o.Faults)
+	} else {
+		s.disturb(random, time.Now().Add(o.Duration))
+	}
 	s.heal()
 	time.Sleep(quiet - settle)
 	s.check.mu.Lock()
