--- a/cmd/masticspard/peers.go
+++ b/cmd/masticspard/peers.go
@@ -210,9 +210,7 @@
 }
 
 func (d *directDaemon) peerDatagrams(batch []fabric.Datagram) {
-	if d.timer.Check() {
-		d.counters.Add("pauses-seen-by-peers", 1)
-	}
+	d.timer.Check()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.peers == nil || d.replica == nil {
--- a/internal/announce/group.go
+++ b/internal/announce/group.go
@@ -23,7 +23,7 @@
 	gapBound = 700 * time.Millisecond
 	// memory is the time for which changes are repeated.
 	memory = 1200 * time.Millisecond
-	// maxChanges bounds the changes of a message, which then fits a datagram of 1,100 bytes.
+	// maxChanges bounds the changes of a message, which then has maxMessage bytes at most.
 	maxChanges = 8
 	// maxMessage is the greatest size of a message in bytes.
 	maxMessage = 1400
