--- a/internal/direct/engine.go
+++ b/internal/direct/engine.go
@@ -76,10 +76,8 @@
 	e.Register.Forgotten = e.Placement.Forget
 	changed := e.Register.Changed
 	e.Register.Changed = func(now time.Duration, l *register.Lifetime, before register.State) {
-		if before == register.Gone || before == register.Lapsed {
-			if l.State == register.Ready {
-				e.Placement.Relisted(now, l.Token)
-			}
+		if l.State == register.Ready && (before == register.Gone || before == register.Lapsed) {
+			e.Placement.Relisted(now, l.Token)
 		}
 		if changed != nil {
 			changed(now, l, before)
--- a/internal/direct/engine_test.go
+++ b/internal/direct/engine_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/masticspar/masticspar/internal/placement"
 	"github.com/masticspar/masticspar/internal/register"
+	"github.com/masticspar/masticspar/internal/signal"
 	"github.com/masticspar/masticspar/internal/track"
 )
 
@@ -322,6 +323,20 @@
 // trialPeriod is the time between two tests of a silent server.
 const trialPeriod = time.Second
 
+// Guards against a server that gets no flow for seconds after an outage, because it was silent before.
+func TestServerThatIsListedAgainIsNotSuspected(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2)
+	host := s.Register.Hosts("standdesk")[0]
+	s.Placement.Observe(s.now, signal.Event{Kind: signal.Unanswered, Host: host.Token})
+	is.Equal(s.Placement.Load(s.now, host.Token).Repeats, 1)
+	s.Register.Apply(s.now, register.Change{Name: host.Name, Revision: uint64(s.now)}, true)
+	is.Equal(host.State, register.Lapsed)
+	s.list(0, "wa-perth", false)
+	is.Equal(host.State, register.Ready)
+	is.Equal(s.Placement.Load(s.now, host.Token).Repeats, 0)
+}
+
 // Guards against a flow that waits for a server whose address another one has.
 func TestFlowOfAReplacedServerIsReset(t *testing.T) {
 	is := is.New(t)
