Read the configuration after a picture of another entry VM

As the revision was past the change, no wait brought it. The demand stays now until the store has answered, and follows each adopted picture. Pictures are fetched every 3 s at most meanwhile.

The test fails without the change.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -30,6 +30,8 @@
 	// peerDelay is how long a fresh process waits for the first page of the store before it asks another process. A whole
 	// fleet that starts at once would otherwise read the pictures of the few contacts.
 	peerDelay = 150 * time.Millisecond
+	// askPeriod is the time between two pictures of other processes.
+	askPeriod = 3 * time.Second
 	// idlePause is the time between two looks whether this process has to read.
 	idlePause = 200 * time.Millisecond
 	// recentAway is how long after an outage a vanished entry may only have lapsed.
@@ -94,6 +96,7 @@
 	awayTo   time.Duration // end of the last outage
 	wasAway  bool
 	failures int
+	asked    time.Duration // when the last picture came
 }
 
 // reading is a complete reading that is under way. The store may refuse a page of it, because all processes of a large
@@ -289,9 +292,10 @@
 	return r.Collect
 }
 
-// ask puts the reading of another process in force, while the store does not answer.
+// ask puts the reading of another process in force, while the store does not answer. The other process may not have read a
+// configuration that it was told of, so that the one in the store is read as soon as the store answers.
 func (r *Replica) ask(ctx context.Context) {
-	if r.Peer == nil {
+	if r.Peer == nil || r.asked > 0 && r.Now()-r.asked < askPeriod {
 		return
 	}
 	r.Counters.Add("peer-reads", 1)
@@ -303,11 +307,12 @@
 	if ctx.Err() != nil {
 		return // The store was faster.
 	}
+	r.asked = r.Now()
 	complete := page.Revision >= r.Revision()
 	r.Adopt(page.Changes, page.Revision, complete)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.configuration = false
+	r.configuration = true
 	if complete && !r.synced {
 		r.revision, r.synced, r.reading = max(r.revision, page.Revision), true, reading{}
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -181,8 +181,9 @@
 	defer stop()
 	s.expect(t, "adopt")
 	s.reads <- result{page: Page{Revision: 5, Next: "page-2"}}
+	s.reads <- result{page: Page{}} // The configuration; a second page would be told as "replace".
 	s.watches <- result{page: Page{Revision: 6}}
-	s.expect(t, "apply")
+	s.expect(t, "apply", "apply")
 	if r.Revision() != 6 || len(s.reads) > 0 {
 		t.Fatalf("revision %d, %d pages not read", r.Revision(), len(s.reads))
 	}
@@ -206,6 +207,62 @@
 	s.expect(t, "regained", "replace away")
 }
 
+// Guards against a configuration that is never read: it was announced when the store went away, and the process that was
+// asked instead had the changes of servers up to the same revision, but an older configuration.
+func TestConfigurationIsReadAfterAPicture(t *testing.T) {
+	for _, fresh := range []bool{true, false} {
+		s := newScript()
+		s.reader = false
+		c := s.config()
+		c.Peer = func(context.Context) (Page, error) { return Page{Revision: 5}, nil }
+		if !fresh {
+			s.reads <- result{page: Page{Revision: 5}}
+		}
+		s.reads <- result{err: ErrRefused}
+		r, stop := New(c)
+		if !fresh {
+			s.expect(t, "replace")
+			r.Again(true)
+		}
+		s.expect(t, "lost", "adopt")
+		s.reads <- result{page: Page{Changes: []register.Change{{Configuration: &register.Configuration{Version: 2}}}}}
+		s.expect(t, "regained", "apply away")
+		stop()
+	}
+}
+
+// Guards against pictures that are fetched again and again while the store is away.
+func TestPeersAreAskedOnceInAWhile(t *testing.T) {
+	s := newScript()
+	s.reader = false
+	c := s.config()
+	var mu sync.Mutex
+	now := time.Second
+	c.Now = func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return now
+	}
+	c.Peer = func(context.Context) (Page, error) { return Page{Revision: 5}, nil }
+	for range 3 {
+		s.reads <- result{err: ErrRefused}
+	}
+	_, stop := New(c)
+	defer stop()
+	s.expect(t, "lost", "adopt")
+	for len(s.reads) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if len(s.done) > 0 {
+		t.Fatalf("told %q", <-s.done)
+	}
+	mu.Lock()
+	now += askPeriod
+	mu.Unlock()
+	s.reads <- result{err: ErrRefused}
+	s.expect(t, "adopt")
+}
+
 // Guards against an old picture of a peer that replaces what the store has told.
 func TestStoreIsFasterThanPeers(t *testing.T) {
 	s := newScript()
