--- a/cmd/masticspard/daemon.go
+++ b/cmd/masticspard/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"github.com/masticspar/masticspar/internal/cleanup"
 	"github.com/masticspar/masticspar/internal/counter"
 	"github.com/masticspar/masticspar/internal/entry"
 	"github.com/masticspar/masticspar/internal/fabric"
@@ -45,7 +46,7 @@
 // newDaemon starts everything and returns the function that stops it in the reverse order.
 func newDaemon(s *settings.Settings, log *zap.Logger) (*daemon, func(), error) {
 	d := &daemon{settings: s, log: log, counters: counter.New(), draining: make(chan struct{})}
-	stop, err := start(d.startTimer, d.startLink, d.startSockets, d.startEngine, d.startPlatform, d.startOperator)
+	stop, err := cleanup.Start(d.startTimer, d.startLink, d.startSockets, d.startEngine, d.startPlatform, d.startOperator)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/cmd/masticspard/direct.go
+++ b/cmd/masticspard/direct.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/masticspar/masticspar/internal/cleanup"
 	"github.com/masticspar/masticspar/internal/counter"
 	"github.com/masticspar/masticspar/internal/direct"
 	directsettings "github.com/masticspar/masticspar/internal/direct/settings"
@@ -63,7 +64,7 @@
 		settings: s, log: log, counters: counter.New(), codec: datagram.Codec{CallerPort: uint16(s.CallerPort)},
 	}
 	d.configureEngine()
-	stop, err := start(d.startTimer, d.startSocket, d.startPeers, d.startStore, d.startOperator)
+	stop, err := cleanup.Start(d.startTimer, d.startSocket, d.startPeers, d.startStore, d.startOperator)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/cmd/masticspard/direct_drain.go
+++ b/cmd/masticspard/direct_drain.go
@@ -28,11 +28,9 @@
 		d.peers.list.Leave(d.timer.Now())
 		d.peers.socket.Flush()
 	}
-	d.mu.Unlock()
-	started := d.timer.Now()
-	d.mu.Lock()
 	limit := max(d.stopTimeout-stopMargin, leaveTime)
 	d.mu.Unlock()
+	started := d.timer.Now()
 	done := make(chan struct{})
 	var once sync.Once
 	cancel := d.timer.Subscribe(direct.TickPeriod, func(now time.Duration) {
--- a/cmd/masticspard/peers.go
+++ b/cmd/masticspard/peers.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/masticspar/masticspar/internal/announce"
+	"github.com/masticspar/masticspar/internal/cleanup"
 	"github.com/masticspar/masticspar/internal/counter"
 	"github.com/masticspar/masticspar/internal/direct"
 	directsettings "github.com/masticspar/masticspar/internal/direct/settings"
@@ -58,7 +59,8 @@
 			Name: s.Name, Zone: s.AvailabilityZone, Region: s.Region, Size: uint32(max(1, s.Size*sizeUnit)),
 			Control: s.PeerAddress, Data: s.DataAddress, Incarnation: uint64(started.UnixMilli()),
 		},
-		OtherZones: otherZones, Seed: uint64(started.UnixNano()), Send: p.sendMembership, Changed: p.memberChanged, Counters: counters, Logger: log,
+		OtherZones: otherZones, Seed: uint64(started.UnixNano()), Send: p.sendMembership, Changed: p.memberChanged,
+		Counters: counters, Logger: log,
 	}
 	p.group = announce.Group{Self: s.Name, AvailabilityZone: s.AvailabilityZone, Send: p.sendAnnouncement}
 	return p
@@ -120,36 +122,32 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "peer-address")
 	}
+	var undo cleanup.Stack
+	undo.Add(stop)
 	p.asker = lookup.Asker{Ask: d.askPeers, Know: d.engine.Register.Former}
 	p.socket, d.peers = socket, p
 	p.list.Start(d.timer.Now(), contacts(s))
 	p.group.Members(p.list.Alive())
-	cancel := d.timer.Subscribe(direct.TickPeriod, func(now time.Duration) {
+	undo.Add(d.timer.Subscribe(direct.TickPeriod, func(now time.Duration) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		p.list.Tick(now)
 		p.group.Tick(now)
 		p.asker.Tick(now)
 		p.socket.Flush()
-	})
-	cancelPause := d.timer.OnPause(func(now, _ time.Duration) {
+	}))
+	undo.Add(d.timer.OnPause(func(now, _ time.Duration) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		p.list.Resume(now)
-	})
+	}))
 	stopPictures, err := picture.Serve(s.PeerAddress, d.picture)
 	if err != nil {
-		cancelPause()
-		cancel()
-		stop()
+		undo.Run()
 		return nil, err
 	}
-	return func() {
-		stopPictures()
-		cancelPause()
-		cancel()
-		stop()
-	}, nil
+	undo.Add(stopPictures)
+	return undo.Run, nil
 }
 
 // picture returns what this entry VM knows, for others.
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -17,6 +17,7 @@
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 
+	"github.com/masticspar/masticspar/internal/cleanup"
 	"github.com/masticspar/masticspar/internal/register"
 	"github.com/masticspar/masticspar/internal/track"
 	"github.com/masticspar/masticspar/platform/standin/backend"
@@ -94,23 +95,8 @@
 		servers: map[string]*server{}, cuts: map[[2]netip.Addr]bool{},
 	}
 	s.check.holder = s.holder
-	var cleanups []func()
-	stop := func() {
-		for i := len(cleanups) - 1; i >= 0; i-- {
-			cleanups[i]()
-		}
-	}
-	for _, step := range []func() (func(), error){s.startStore, s.startServers, s.startDaemons, s.startRouter} {
-		cleanup, err := step()
-		if cleanup != nil {
-			cleanups = append(cleanups, cleanup)
-		}
-		if err != nil {
-			stop()
-			return nil, nil, err
-		}
-	}
-	return s, stop, nil
+	stop, err := cleanup.Start(s.startStore, s.startServers, s.startDaemons, s.startRouter)
+	return s, stop, err
 }
 
 func (s *site) ip(network byte, i int) netip.Addr {
@@ -214,33 +200,28 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	var cleanups []func()
-	cleanup := func() {
-		for i := len(cleanups) - 1; i >= 0; i-- {
-			cleanups[i]()
-		}
-		_ = os.RemoveAll(directory)
-	}
+	var undo cleanup.Stack
+	undo.Add(func() { _ = os.RemoveAll(directory) })
 	for i := range s.Daemons {
 		d := &daemon{name: fmt.Sprint("entry-", i), address: s.ip(daemonNet, i), zone: zoneOf(i)}
 		d.settings = filepath.Join(directory, d.name+".json")
 		address := netip.AddrPortFrom(s.ip(proxyNet, i), storePort)
 		p, stop, err := newProxy(address.String(), netip.AddrPortFrom(s.ip(proxyNet, 200), storePort).String())
 		if err != nil {
-			return cleanup, err
+			return undo.Run, err
 		}
 		d.proxy = p
-		cleanups = append(cleanups, stop)
+		undo.Add(stop)
 		if err := s.prepare(d, address); err != nil {
-			return cleanup, err
+			return undo.Run, err
 		}
 		s.daemons = append(s.daemons, d)
-		cleanups = append(cleanups, d.kill)
+		undo.Add(d.kill)
 		if err := d.start(s.Binary); err != nil {
-			return cleanup, err
+			return undo.Run, err
 		}
 	}
-	return cleanup, nil
+	return undo.Run, nil
 }
 
 // prepare writes the settings of a daemon and opens its log.
--- /dev/null
+++ b/internal/cleanup/doc.go
@@ -0,0 +1,2 @@
+// Package cleanup undoes the steps of a start in the reverse order.
+package cleanup
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -96,14 +96,21 @@
 	}
 }
 
+// follow starts a replica that has read revision 5.
+func (s *script) follow(t *testing.T, c Config) *Replica {
+	t.Helper()
+	s.reads <- result{page: Page{Revision: 5}}
+	r, stop := New(c)
+	t.Cleanup(stop)
+	s.expect(t, "replace")
+	return r
+}
+
 // Guards against a replica that does not read again when the store has dropped its history, and against changes in
 // between that are lost.
 func TestForgottenHistoryIsReadAgain(t *testing.T) {
 	s := newScript()
-	r, stop := New(s.config())
-	defer stop()
-	s.reads <- result{page: Page{Revision: 5}}
-	s.expect(t, "replace")
+	r := s.follow(t, s.config())
 	s.watches <- result{err: ErrForgotten}
 	s.reads <- result{page: Page{Revision: 9}}
 	s.expect(t, "replace")
@@ -117,10 +124,7 @@
 	is := is.New(t)
 	s := newScript()
 	c := s.config()
-	_, stop := New(c)
-	defer stop()
-	s.reads <- result{page: Page{Revision: 5}}
-	s.expect(t, "replace")
+	s.follow(t, c)
 	s.watches <- result{err: ErrRefused}
 	s.watches <- result{err: errors.New("reset")}
 	s.watches <- result{page: Page{Revision: 6, Changes: []register.Change{{Name: "i-1"}}}}
@@ -196,10 +200,7 @@
 	c := s.config()
 	revision := uint64(4)
 	c.Peer = func(context.Context) (Page, error) { return Page{Revision: revision}, nil }
-	s.reads <- result{page: Page{Revision: 5}}
-	_, stop := New(c)
-	defer stop()
-	s.expect(t, "replace")
+	s.follow(t, c)
 	s.watches <- result{err: ErrForgotten}
 	s.reads <- result{err: ErrRefused}
 	s.expect(t, "lost", "adopt older")
@@ -289,10 +290,7 @@
 func TestOnlyReadersWait(t *testing.T) {
 	s := newScript()
 	s.reader = false
-	r, stop := New(s.config())
-	defer stop()
-	s.reads <- result{page: Page{Revision: 5}}
-	s.expect(t, "replace")
+	r := s.follow(t, s.config())
 	s.watches <- result{page: Page{Revision: 8}}
 	r.Advance(7)
 	time.Sleep(3 * idlePause)
@@ -312,10 +310,7 @@
 func TestConfigurationIsReadOnRequest(t *testing.T) {
 	s := newScript()
 	s.reader = false
-	r, stop := New(s.config())
-	defer stop()
-	s.reads <- result{page: Page{Revision: 5}}
-	s.expect(t, "replace")
+	r := s.follow(t, s.config())
 	r.Again(true)
 	s.reads <- result{page: Page{Changes: []register.Change{{Configuration: &register.Configuration{Version: 2}}}}}
 	s.expect(t, "apply")
