Make the fields of a log line only when it is written

Under load most lines about flows are left out by the sampler, and a picture of a large fleet changes thousands of servers at once, but the fields were made first. The same lines are written and counted.

--- a/cmd/masticspard/direct_log.go
+++ b/cmd/masticspard/direct_log.go
@@ -12,7 +12,11 @@
 
 func (d *directDaemon) logHost(now time.Duration, l *register.Lifetime, before register.State) {
 	d.counters.Add("host-"+l.State.String(), 1)
-	d.log.Info("host-state", zap.String("host", l.Name), zap.Uint32("token", l.Token), zap.String("service", l.Service),
+	line := d.log.Check(zap.InfoLevel, "host-state")
+	if line == nil {
+		return // A picture of a large fleet changes thousands of servers at once.
+	}
+	line.Write(zap.String("host", l.Name), zap.Uint32("token", l.Token), zap.String("service", l.Service),
 		zap.String("availability-zone", l.AvailabilityZone), zap.Stringer("address", l.Address),
 		zap.Stringer("state", l.State), zap.Stringer("before", before), zap.Duration("held", now-l.Seen),
 		zap.Bool("replaced", l.Replaced))
@@ -29,8 +33,13 @@
 		zap.Int("outstanding", load.Outstanding), zap.Int("repeats", load.Repeats))
 }
 
-// logFlow writes the decision about a flow with what decided it.
+// logFlow writes the decision about a flow with what decided it. Most lines are left out under load, before their fields
+// are made.
 func (d *directDaemon) logFlow(now time.Duration, event string, p *track.Packet, v direct.Verdict) {
+	line := d.log.Check(zap.InfoLevel, event)
+	if line == nil {
+		return
+	}
 	fields := []zap.Field{
 		zap.Stringer("caller", p.Caller), zap.Stringer("service-address", p.Service), zap.Uint32("token", p.Token),
 		zap.Bool("syn", p.SYN), zap.Uint64("configuration", d.engine.Register.Version()),
@@ -45,5 +54,5 @@
 			zap.Int("outstanding", load.Outstanding), zap.Duration("answer-time", load.Answer),
 			zap.Duration("silence", load.Silence), zap.Int("repeats", load.Repeats))
 	}
-	d.log.Info(event, fields...)
+	line.Write(fields...)
 }
