Encode an announcement once for all its receivers

A reader of the store encoded each announcement anew for every entry VM of its availability zone, 44 times at the target size. The same datagrams are sent.

--- a/cmd/masticspard/peers.go
+++ b/cmd/masticspard/peers.go
@@ -77,21 +77,23 @@
 
 func (p *peers) sendMembership(to member.Member, m member.Message) {
 	b, err := member.Encode(m)
-	p.send(to, kindMembership, b, err)
+	p.send(to.Control, kindMembership, b, err)
 }
 
-func (p *peers) sendAnnouncement(to member.Member, m *announce.Message) {
+func (p *peers) sendAnnouncement(to []member.Member, m *announce.Message) {
 	b, err := announce.Encode(m)
-	p.send(to, kindAnnouncement, b, err)
+	for _, one := range to {
+		p.send(one.Control, kindAnnouncement, b, err)
+	}
 }
 
 func (p *peers) sendLookup(to netip.AddrPort, m *lookup.Message) {
 	m.From = p.list.Self.Control
 	b, err := lookup.Encode(m)
-	p.send(member.Member{Control: to}, kindLookup, b, err)
+	p.send(to, kindLookup, b, err)
 }
 
-func (p *peers) send(to member.Member, kind byte, b []byte, err error) {
+func (p *peers) send(to netip.AddrPort, kind byte, b []byte, err error) {
 	if err != nil {
 		p.counters.Add("messages-not-encoded", 1)
 		p.log.Error("message-not-encoded", zap.Error(err))
@@ -99,7 +101,7 @@
 	}
 	p.out = append(append(p.out[:0], kind), b...)
 	p.counters.Add("peer-bytes-sent", int64(len(p.out)))
-	p.socket.Send(to.Control, p.out, 0, p.now())
+	p.socket.Send(to, p.out, 0, p.now())
 }
 
 func (p *peers) memberChanged(m member.Member) {
--- a/internal/announce/group.go
+++ b/internal/announce/group.go
@@ -88,8 +88,8 @@
 type Group struct {
 	// Self is the name of this entry VM and AvailabilityZone its zone.
 	Self, AvailabilityZone string
-	// Send sends a message to another entry VM.
-	Send func(to member.Member, m *Message)
+	// Send sends a message to other entry VMs.
+	Send func(to []member.Member, m *Message)
 
 	zone    []member.Member // other live entry VMs of the zone
 	reader  bool
@@ -179,10 +179,7 @@
 }
 
 func (g *Group) announce(b batch) {
-	m := &Message{From: g.Self, Since: b.since, Revision: b.revision, Version: g.version, Changes: b.changes}
-	for _, to := range g.zone {
-		g.Send(to, m)
-	}
+	g.Send(g.zone, &Message{From: g.Self, Since: b.since, Revision: b.revision, Version: g.version, Changes: b.changes})
 }
 
 // Handle takes an announcement of another entry VM; revision and version are what this one has.
--- a/internal/announce/group_test.go
+++ b/internal/announce/group_test.go
@@ -41,7 +41,13 @@
 	return z
 }
 
-func (z *zone) send(to member.Member, m *Message) {
+func (z *zone) send(to []member.Member, m *Message) {
+	for _, one := range to {
+		z.deliver(z.groups[one.Name], m)
+	}
+}
+
+func (z *zone) deliver(g *vm, m *Message) {
 	b, err := Encode(m)
 	if err != nil {
 		panic(err)
@@ -49,7 +55,6 @@
 	if m, err = Decode(b); err != nil {
 		panic(err)
 	}
-	g := z.groups[to.Name]
 	if g.deaf {
 		return
 	}
