Reset flows of a server only after its entry was removed from the store

Three retransmissions and 400 ms of silence were taken as proof that a server was dead. A link of 2 Mbit/s that uploads fill causes both while the server responds, and one of 295 entry VMs sees too few flows of a server to tell.

Ruled out: more retransmissions or a longer silence, which the queue of a narrow link imitates as well; reports of other entry VMs, because one that is cut off would make others reset live flows.

Change: a flow is lost only if its requests may be repeated, the entry of its server was removed while the store was available, the server has not responded to any flow for 400 ms since, and other servers respond. One retransmission is then enough, where three were needed before.

--- a/internal/dsr/engine.go
+++ b/internal/dsr/engine.go
@@ -42,7 +42,7 @@
 	ReasonNoConfiguration = "no-picture"
 	ReasonUnknownToken    = "unknown-token"
 	ReasonLateSYN         = "late-syn"
-	ReasonHostDead        = "host-dead"
+	ReasonHostRemoved     = "host-removed"
 	ReasonHostReplaced    = "host-replaced"
 	ReasonResuming        = "waking" // SYN that arrives shortly after a pause of the process
 )
@@ -105,13 +105,9 @@
 		e.Flows.Forget(now, p.Key)
 		return Verdict{Action: Reset, Host: l, Reason: ReasonHostReplaced}
 	}
-	// Only flows with idempotent requests are reset, because callers can retry these. Other callers wait, because the
-	// response may still arrive. Data that is not retransmitted may go to the dead server as a probe.
-	if p.Length > 0 && e.Placement.Dead(now, l.Token) && (retransmitted || !e.Placement.AllowProbe(now, l.Token)) {
-		if r := e.Registry.Route(p.Service); r != nil && r.Idempotent {
-			e.Flows.Forget(now, p.Key)
-			return Verdict{Action: Reset, Host: l, Reason: ReasonHostDead}
-		}
+	if retransmitted && e.flowLost(now, p, l) {
+		e.Flows.Forget(now, p.Key)
+		return Verdict{Action: Reset, Host: l, Reason: ReasonHostRemoved}
 	}
 	return Verdict{Action: Forward, Host: l}
 }
--- a/internal/placement/liveness.go
+++ b/internal/placement/liveness.go
@@ -11,19 +11,14 @@
 	// A handshake is overdue after overdueFactor times the average handshake plus overdueMargin.
 	overdueFactor = 4
 	overdueMargin = 20 * time.Millisecond
-	// A server is dead after deadRetransmissions retransmitted packets and deadTimeout without a liveness signal. Callers
-	// retransmit after 200 ms, so a live server responds several times within deadTimeout.
-	deadRetransmissions = 3
-	deadTimeout         = 400 * time.Millisecond
 	// suspicionRetention is the time after which earlier retransmissions no longer count.
 	suspicionRetention = 2 * time.Second
-	// aliveWindow is how recently another server must have responded for a server or zone to be considered down. If none
-	// responds, the link of this entry VM may be down.
+	// aliveWindow is how recently another server must have responded for a server or zone to be considered down.
 	aliveWindow = 250 * time.Millisecond
 	// minUnreachableHosts is the number of unresponsive servers that make a whole availability zone unreachable.
 	minUnreachableHosts = 2
-	// trialInterval is the time between two trial flows to a suspected server, and between two probes of a dead one. For
-	// trial flows it doubles with each failed trial, at most maxTrialDoublings times.
+	// trialInterval is the time between two trial flows to a suspected server. It doubles with each failed trial, at most
+	// maxTrialDoublings times.
 	trialInterval     = time.Second
 	maxTrialDoublings = 2
 )
@@ -74,7 +69,7 @@
 }
 
 func (l *load) clear(now time.Duration) {
-	l.aliveAt, l.retransmissions, l.refusals, l.trials, l.dead = now, 0, 0, 0, false
+	l.aliveAt, l.retransmissions, l.refusals, l.trials = now, 0, 0, 0
 }
 
 // handshakeOverdue reports whether the oldest pending handshake takes so long that the server may have refused it.
@@ -119,32 +114,13 @@
 	return false
 }
 
-// Dead reports whether a server has been unresponsive for so long, while others responded, that its flows are lost. It
-// stays dead until the next liveness signal.
-func (m *Model) Dead(now time.Duration, token uint32) bool {
-	l := m.loads[token]
-	if l == nil {
-		return false
-	}
-	if !l.dead && l.retransmissions >= deadRetransmissions && now-l.aliveAt >= deadTimeout &&
-		now-l.retransmittedAt <= suspicionRetention {
-		for other, o := range m.loads {
-			if other != token && o.aliveAt > 0 && now-o.aliveAt < aliveWindow {
-				l.dead, l.probedAt = true, now
-				break
-			}
+// OtherAlive reports whether a server other than the one with the given token has responded within aliveWindow. If none
+// has, the link of this entry VM may be down.
+func (m *Model) OtherAlive(now time.Duration, token uint32) bool {
+	for other, o := range m.loads {
+		if other != token && o.aliveAt > 0 && now-o.aliveAt < aliveWindow {
+			return true
 		}
 	}
-	return l.dead
-}
-
-// AllowProbe reports whether a packet of an open flow may go to a dead server, to check whether it responds again. It
-// allows one packet per trialInterval.
-func (m *Model) AllowProbe(now time.Duration, token uint32) bool {
-	l := m.loads[token]
-	if l == nil || now-l.probedAt < trialInterval {
-		return false
-	}
-	l.probedAt = now
-	return true
+	return false
 }
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -22,8 +22,6 @@
 	refusals        int           // refused handshakes since aliveAt
 	trialAt         time.Duration // time of the last trial flow
 	trials          int           // trial flows since aliveAt
-	dead            bool
-	probedAt        time.Duration // when the server was declared dead or last probed
 }
 
 // zone is the state of an availability zone.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -123,6 +123,9 @@
 	FirstRevision uint64
 	// Replaced reports whether the server has certainly ended, because a newer lifetime has its name or its address.
 	Replaced bool
+	// Removed reports whether the entry was removed while the store was available, and has not been listed again. The
+	// server may still run if it cannot reach the store.
+	Removed bool
 
 	listed bool // whether it is in Registry.services
 }
@@ -239,6 +242,7 @@
 	if l.State == StateLapsed {
 		return false // Sweep ends the grace period.
 	}
+	l.Removed = c.Fault == "" && !storeDown
 	return r.setState(now, l, StateGone)
 }
 
@@ -364,7 +368,7 @@
 		r.unlist(l)
 		r.releaseAddress(l)
 	}
-	l.Host = *h
+	l.Host, l.Removed = *h, false
 	l.ColdUntil = now + h.Cold
 	r.claimAddress(now, l)
 	state := StateReady
