Start from the state of another entry VM instead of the store

Cause: when a whole fleet starts at once, each process reads all pages of the store.

Ruled out: processor time of the start (0.24 to 0.33 s on the smallest VM with few entries, the same without charged processor time); membership as the way to find other VMs, because a fresh list takes one to three seconds to settle.

Change: package bootstrap. A process that starts asks its contacts. A contact lets one VM of each zone read the store and refers the others to VMs of their zone that have the state, the largest first, within the transfers that their size allows. A process without a reply, or whose sources fail, reads the store. A VM that has just started waits for announcements before it watches the store.

Announced changes lapse servers during an outage instead of removing them, as changes of the store do.

--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/masticspar/masticspar/internal/announce"
+	"github.com/masticspar/masticspar/internal/bootstrap"
 	"github.com/masticspar/masticspar/internal/cleanup"
 	"github.com/masticspar/masticspar/internal/counter"
 	"github.com/masticspar/masticspar/internal/dsr"
@@ -27,6 +28,7 @@
 	kindMembership byte = iota + 1
 	kindAnnouncement
 	kindLookup
+	kindBootstrap
 )
 
 // maxSources is the maximum number of entry VMs that are queried for a snapshot or a token at a time.
@@ -42,18 +44,21 @@
 // peers exchanges membership, announcements and lookups with other entry VMs. The mutex of the daemon serializes all
 // calls.
 type peers struct {
-	list     member.List
-	group    announce.Group
-	resolver lookup.Resolver
-	socket   *fabric.Socket
-	counters *counter.Set
-	log      *zap.Logger
-	now      func() time.Duration
-	out      []byte // datagram that is being sent; the buffer is reused
+	list      member.List
+	group     announce.Group
+	resolver  lookup.Resolver
+	bootstrap bootstrap.Agent
+	actions   chan bootstrap.Action // what the replica has to do at the start
+	socket    *fabric.Socket
+	counters  *counter.Set
+	log       *zap.Logger
+	now       func() time.Duration
+	out       []byte // datagram that is being sent; the buffer is reused
 }
 
 func newPeers(s *dsrsettings.Settings, counters *counter.Set, log *zap.Logger, now func() time.Duration) *peers {
-	p := &peers{counters: counters, log: log, now: now}
+	// The agent decides at most twice: to fetch the state, and to read the store after a failure.
+	p := &peers{counters: counters, log: log, now: now, actions: make(chan bootstrap.Action, 2)}
 	started := time.Now()
 	p.list = member.List{
 		Self: member.Member{
@@ -64,6 +69,10 @@
 		Send: p.sendMembership, Changed: p.handleMemberChange, Counters: counters, Logger: log,
 	}
 	p.group = announce.Group{Self: s.Name, AvailabilityZone: s.AvailabilityZone, Send: p.sendAnnouncement}
+	p.bootstrap = bootstrap.Agent{
+		Address: s.PeerAddress, AvailabilityZone: s.AvailabilityZone, Size: p.list.Self.Size, Contacts: contacts(s),
+		Members: p.bootstrapSources, Send: p.sendBootstrap, Decide: func(a bootstrap.Action) { p.actions <- a },
+	}
 	return p
 }
 
@@ -95,6 +104,22 @@
 	p.send(to, kindLookup, b, err)
 }
 
+func (p *peers) sendBootstrap(to netip.AddrPort, m *bootstrap.Message) {
+	b, err := bootstrap.Encode(m)
+	p.send(to, kindBootstrap, b, err)
+}
+
+// bootstrapSources returns the other active entry VMs of an availability zone.
+func (p *peers) bootstrapSources(zone string) []bootstrap.Source {
+	var list []bootstrap.Source
+	for _, m := range p.list.Active() {
+		if m.Zone == zone && m.Name != p.list.Self.Name {
+			list = append(list, bootstrap.Source{Address: m.Control, Size: m.Size})
+		}
+	}
+	return list
+}
+
 func (p *peers) send(to netip.AddrPort, kind byte, b []byte, err error) {
 	if err != nil {
 		p.counters.Add("messages-not-encoded", 1)
@@ -131,6 +156,7 @@
 	p.resolver = lookup.Resolver{Query: d.queryPeers, Find: d.engine.Registry.Record}
 	p.socket, d.peers = socket, p
 	p.list.Start(d.timer.Now(), contacts(s))
+	p.group.Start(d.timer.Now(), len(s.Contacts) == 0)
 	p.group.SetMembers(p.list.Active())
 	undo.Add(d.timer.Subscribe(dsr.TickPeriod, func(now time.Duration) {
 		d.mu.Lock()
@@ -138,6 +164,7 @@
 		p.list.Tick(now)
 		p.group.Tick(now)
 		p.resolver.Tick(now)
+		p.bootstrap.Tick(now)
 		p.socket.Flush()
 	}))
 	undo.Add(d.timer.OnPause(func(now, _ time.Duration) {
@@ -155,14 +182,17 @@
 }
 
 // snapshot returns the state of the registry for other entry VMs, or nil while the daemon starts or the registry is
-// incomplete.
-func (d *dsrDaemon) snapshot() *snapshot.Snapshot {
+// incomplete. A snapshot with a limited age starts another process, so its configuration must match its revision.
+func (d *dsrDaemon) snapshot(maxAge time.Duration) *snapshot.Snapshot {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := &d.engine.Registry
 	if d.replica == nil || !r.Complete() {
 		return nil
 	}
+	if maxAge > 0 && (!d.replica.Consistent() || d.timer.Now()-d.lastUpdate > maxAge) {
+		return nil
+	}
 	return &snapshot.Snapshot{Revision: d.replica.Revision(), Servers: r.Changes(), Configuration: r.Configuration()}
 }
 
@@ -174,16 +204,50 @@
 	d.mu.Unlock()
 	for _, address := range sources {
 		var p *snapshot.Snapshot
-		if p, err = snapshot.Fetch(ctx, address); err != nil {
+		if p, err = snapshot.Fetch(ctx, address, 0); err != nil {
 			continue
 		}
-		d.log.Info("picture-of-peer", zap.Stringer("source", address), zap.Uint64("revision", p.Revision),
-			zap.Uint64("version", p.Configuration.Version), zap.Int("servers", len(p.Servers)))
-		return replica.Page{Changes: p.Changes(), Revision: p.Revision}, nil
+		return d.newPage(address, p), nil
 	}
 	return replica.Page{}, errors.Trace(err)
 }
 
+// newPage logs the snapshot of another entry VM and returns it as a page for the replica.
+func (d *dsrDaemon) newPage(source netip.AddrPort, s *snapshot.Snapshot) replica.Page {
+	d.log.Info("picture-of-peer", zap.Stringer("source", source), zap.Uint64("revision", s.Revision),
+		zap.Uint64("version", s.Configuration.Version), zap.Int("servers", len(s.Servers)))
+	return replica.Page{Changes: s.Changes(), Revision: s.Revision}
+}
+
+// bootstrap returns the state of another entry VM when this process starts, or an error if the store has to be read.
+func (d *dsrDaemon) bootstrap(ctx context.Context) (replica.Page, error) {
+	for {
+		var a bootstrap.Action
+		select {
+		case a = <-d.peers.actions:
+		case <-ctx.Done():
+			return replica.Page{}, errors.Trace(ctx.Err())
+		}
+		if a.Read {
+			d.counters.Add("bootstrap-read-"+a.Reason, 1)
+			d.log.Info("bootstrap-read", zap.String("reason", a.Reason))
+			return replica.Page{}, errors.Errorf("bootstrap: %s", a.Reason)
+		}
+		for _, source := range a.Sources {
+			// A state that is older than the time between two replies to a watch may come from an entry VM that is cut off.
+			s, err := snapshot.Fetch(ctx, source, d.settings.WatchTimeout()+time.Second)
+			if err == nil {
+				return d.newPage(source, s), nil
+			}
+			d.counters.Add("bootstrap-retry-source", 1)
+			d.log.Info("bootstrap-source-failed", zap.Stringer("source", source), zap.Error(err))
+		}
+		d.mu.Lock()
+		d.peers.bootstrap.FetchFailed()
+		d.mu.Unlock()
+	}
+}
+
 // sources returns up to maxSources entry VMs in random order: at most one of each availability zone, the own zone
 // first. A new process without members uses its contacts.
 func (d *dsrDaemon) sources() []netip.AddrPort {
@@ -252,6 +316,12 @@
 			return err
 		}
 		d.handleLookup(now, m)
+	case kindBootstrap:
+		m, err := bootstrap.Decode(b[1:])
+		if err != nil {
+			return err
+		}
+		d.peers.bootstrap.Handle(now, m)
 	default:
 		return errors.Errorf("unknown datagram kind %d", b[0])
 	}
@@ -263,7 +333,7 @@
 	d.lastUpdate = now
 	a := d.peers.group.Handle(now, m, d.replica.Revision(), d.engine.Registry.Version())
 	for _, c := range a.Apply {
-		d.engine.Registry.Apply(now, c, false)
+		d.engine.Registry.Apply(now, c, d.replica.StoreDown())
 	}
 	if len(a.Apply) > 0 {
 		d.retryHeld(now)
--- a/cmd/masticspard/dsr_store.go
+++ b/cmd/masticspard/dsr_store.go
@@ -18,7 +18,7 @@
 	client, closeClient := store.New(d.settings.Store.String())
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r, stop := replica.New(replica.Config{
+	c := replica.Config{
 		Read: client.Read, Watch: client.Watch, ReadConfiguration: client.Configuration, Now: d.timer.Now,
 		WatchTimeout: d.settings.WatchTimeout(),
 		BatchDelay:   time.Duration(batchDelayShare * float64(d.settings.Bound())),
@@ -30,8 +30,16 @@
 		Lost:         d.storeLost,
 		Regained:     d.storeRegained,
 		Counters:     d.counters,
-	})
+	}
+	if d.peers != nil {
+		c.Bootstrap = d.bootstrap
+	}
+	r, stop := replica.New(c)
 	d.replica = r
+	if d.peers != nil {
+		d.peers.bootstrap.Start(d.timer.Now())
+		d.peers.socket.Flush()
+	}
 	return func() {
 		stop()
 		closeClient()
@@ -123,5 +131,8 @@
 		d.counters.Add("configurations-accepted", 1)
 		d.log.Info("configuration-in-force", zap.Uint64("version", r.Version()), zap.Uint64("before", before))
 	}
+	if d.peers != nil && r.Complete() {
+		d.peers.bootstrap.Synced(d.lastUpdate)
+	}
 	d.retryHeld(d.lastUpdate)
 }
--- a/cmd/masticspard/dsr_test.go
+++ b/cmd/masticspard/dsr_test.go
@@ -223,6 +223,35 @@
 	is.Equal(p.Token, token)
 }
 
+// Guards against a daemon that starts beside another one and reads the store all the same, and against one that starts
+// with an outdated state: the store is read if the other daemon has not received anything for too long.
+func TestDSRStartsWithStateOfAnotherEntryVM(t *testing.T) {
+	is := is.New(t)
+	s := newDSRSite(t, "i-1")
+	first := s.settings("entry-1")
+	d1, _ := s.start(first)
+	s.waitFor("first daemon ready", isReady(first))
+	second := s.settings("entry-2", first.PeerAddress)
+	// Contacts get the port of the own peer address, so the daemons need different IP addresses.
+	second.PeerAddress = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), first.PeerAddress.Port())
+	d2, _ := s.start(second)
+	s.waitFor("second daemon ready", isReady(second))
+	is.Equal(d2.counters.Counter("bootstrapped-from-peer").Count(), int64(1))
+	is.Equal(d2.counters.Counter("store-reads").Count(), int64(0))
+
+	is.True(d1.snapshot(time.Minute) != nil)
+	d1.mu.Lock()
+	d1.lastUpdate -= time.Hour
+	d1.mu.Unlock()
+	is.Equal(d1.snapshot(time.Minute), nil)
+	is.True(d1.snapshot(0) != nil)
+	d1.mu.Lock()
+	d1.lastUpdate += time.Hour
+	d1.mu.Unlock()
+	d1.replica.Resync(false) // Its revision may not match its configuration until it has read the store again.
+	s.waitFor("consistent state", func() bool { return d1.snapshot(time.Minute) != nil })
+}
+
 // Guards against callers that wait for a server that stopped before a daemon started, when only another daemon has the
 // record of that server.
 func TestDSRQueriesPeersForUnknownTokens(t *testing.T) {
--- a/internal/announce/group.go
+++ b/internal/announce/group.go
@@ -20,6 +20,8 @@
 	// announcementTimeout is the time without announcements after which an entry VM reads the store itself. Three
 	// consecutive announcements may be lost.
 	announcementTimeout = 1700 * time.Millisecond
+	// joinTime is how long an entry VM takes to learn of most members of its zone after its start.
+	joinTime = time.Second
 	// gapTimeout is how long a receiver waits for missing changes, which the next announcement repeats.
 	gapTimeout = 700 * time.Millisecond
 	// repeatPeriod is the time for which changes are repeated.
@@ -93,9 +95,10 @@
 	// Send is called to send a message to other entry VMs.
 	Send func(to []member.Member, m *Message)
 
+	startedAt  time.Duration
 	zone       []member.Member // other active entry VMs of the zone
 	reader     bool
-	receivedAt time.Duration // time of the last announcement from another entry VM; 0 before the first one
+	receivedAt time.Duration // time of the last announcement from another entry VM; initially startedAt
 	gapSince   time.Duration // time since which changes are missing; 0 if none are missing
 	batches    []batch       // changes published within repeatPeriod, oldest first
 	latest     batch         // newest revision, without changes; zero while the store is unavailable
@@ -109,6 +112,14 @@
 	changes         []registry.Change
 }
 
+// Start records the time at which this entry VM starts. One that is alone has no other members to wait for.
+func (g *Group) Start(now time.Duration, alone bool) {
+	g.startedAt, g.receivedAt = now, now
+	if alone {
+		g.startedAt, g.receivedAt = now-joinTime, now-announcementTimeout
+	}
+}
+
 // SetMembers replaces the members of the fleet and selects the readers of the zone. It ignores other zones and members
 // that are leaving or dead.
 func (g *Group) SetMembers(all []member.Member) {
@@ -132,9 +143,10 @@
 	}
 }
 
-// ShouldRead reports whether this entry VM has to read the store.
+// ShouldRead reports whether this entry VM has to read the store. Shortly after its start it does not know the other
+// members of the zone yet, so it does not take itself for a reader.
 func (g *Group) ShouldRead(now time.Duration) bool {
-	return g.reader || g.receivedAt == 0 || now-g.receivedAt >= announcementTimeout
+	return g.reader && now-g.startedAt >= joinTime || now-g.receivedAt >= announcementTimeout
 }
 
 // Publish queues the changes after since up to revision, which this entry VM has read from the store, for announcement.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -59,6 +59,9 @@
 	Watch func(ctx context.Context, after uint64, wait time.Duration) (Page, error)
 	// ReadConfiguration returns only the configuration.
 	ReadConfiguration func(ctx context.Context) (Page, error)
+	// Bootstrap returns the state of another process once when this process starts, or an error if the store has to be
+	// read. It may block until one of both is known. Nil reads the store.
+	Bootstrap func(ctx context.Context) (Page, error)
 	// ReadPeer returns the snapshot of another process. It is called when the store does not reply; nil disables it.
 	ReadPeer func(ctx context.Context) (Page, error)
 	// Replace is called with the result of a full read and its revision. storeDown reports whether the store was
@@ -94,14 +97,17 @@
 	revision         uint64
 	synced           bool // whether the state is complete
 	configurationDue bool // whether the next step reads only the configuration
+	readingDue       bool // whether such a read is in progress
 	fullRead         fullRead
 
+	// Written with mu held, so that StoreDown can read them.
 	storeDown   bool          // whether the last call to the store failed
 	outageStart time.Duration // start of the current outage
 	outageEnd   time.Duration // end of the last outage
 	hadOutage   bool
-	failures    int           // consecutive calls that failed
-	peerReadAt  time.Duration // when the last snapshot of another process arrived
+
+	failures   int           // consecutive calls that failed
+	peerReadAt time.Duration // when the last snapshot of another process arrived
 }
 
 // fullRead is a full read in progress. The store may refuse one of its pages when all processes of a large fleet read
@@ -117,6 +123,7 @@
 	r := &Replica{Config: c}
 	ctx := r.tb.Context(context.Background())
 	r.tb.Go(func() error {
+		r.bootstrap(ctx)
 		for r.tb.Alive() {
 			if delay := r.step(ctx); delay > 0 {
 				select {
@@ -133,6 +140,38 @@
 	}
 }
 
+// bootstrap adopts the state of another process. Its configuration is as new as its revision, see Consistent, so the
+// configuration is not read from the store.
+func (r *Replica) bootstrap(ctx context.Context) {
+	if r.Bootstrap == nil {
+		return
+	}
+	page, err := r.Bootstrap(ctx)
+	if err != nil {
+		return // The reason was counted by the callback.
+	}
+	r.Counters.Add("bootstrapped-from-peer", 1)
+	r.Adopt(page.Changes, page.Revision, true)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision, r.synced = max(r.revision, page.Revision), true
+}
+
+// Consistent reports whether the state is complete and its configuration is at least as new as Revision, so that
+// another process can adopt both.
+func (r *Replica) Consistent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.synced && !r.configurationDue && !r.readingDue
+}
+
+// StoreDown reports whether the store is unavailable to this process or was so recently.
+func (r *Replica) StoreDown() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.recentOutage()
+}
+
 // Revision returns the revision up to which changes have been received.
 func (r *Replica) Revision() uint64 {
 	r.mu.Lock()
@@ -162,8 +201,13 @@
 func (r *Replica) step(ctx context.Context) time.Duration {
 	r.mu.Lock()
 	synced, configurationDue := r.synced, r.configurationDue
-	r.configurationDue = false
+	r.configurationDue, r.readingDue = false, configurationDue
 	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.readingDue = false
+	}()
 	switch {
 	case !synced:
 		return r.readAll(ctx)
@@ -338,7 +382,9 @@
 	}
 	r.Counters.Add("store-retry-"+reason, 1)
 	if !r.storeDown {
+		r.mu.Lock()
 		r.storeDown, r.hadOutage, r.outageStart = true, true, r.Now()
+		r.mu.Unlock()
 		r.Lost(err)
 	}
 	r.failures++
@@ -351,7 +397,9 @@
 	if !r.storeDown {
 		return
 	}
+	r.mu.Lock()
 	r.storeDown, r.outageEnd = false, r.Now()
+	r.mu.Unlock()
 	r.Regained(r.outageEnd - r.outageStart)
 }
 
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -1,11 +1,15 @@
 package snapshot
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -18,6 +22,8 @@
 
 const (
 	path = "/picture"
+	// maxAgeParameter is the query parameter with the greatest accepted age of the snapshot in milliseconds.
+	maxAgeParameter = "max-age-ms"
 	// timeout bounds a transfer; the network delay between entry VMs is a few milliseconds.
 	timeout = 400 * time.Millisecond
 	// maxSize is the greatest size of a snapshot in bytes; a snapshot of 5,700 servers has about 0.7 MB.
@@ -66,24 +72,32 @@
 }
 
 // Serve serves the snapshot to other entry VMs on address until the returned function is called. current returns nil
-// while there is no snapshot.
-func Serve(address netip.AddrPort, current func() *Snapshot) (func(), error) {
+// while there is no snapshot whose age is at most maxAge; a maxAge of 0 allows any age.
+func Serve(address netip.AddrPort, current func(maxAge time.Duration) *Snapshot) (func(), error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, errors.Annotatef(err, "listening for snapshot requests on %s", address)
 	}
+	var c cache
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
-		s := current()
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
+		maxAge, err := strconv.ParseUint(r.FormValue(maxAgeParameter), 10, 31)
+		if err != nil && r.FormValue(maxAgeParameter) != "" {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s := current(time.Duration(maxAge) * time.Millisecond)
 		if s == nil {
 			http.Error(w, "no picture", http.StatusServiceUnavailable)
 			return
 		}
-		b, err := cbor.Marshal(s)
+		b, err := c.compress(s)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
 		}
+		w.Header().Set("Content-Encoding", "gzip")
+		w.Header().Set("Content-Length", strconv.Itoa(len(b)))
 		_, _ = w.Write(b) // The receiver detects a truncated snapshot.
 	})
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: timeout, WriteTimeout: timeout}
@@ -100,11 +114,49 @@
 	}, nil
 }
 
-// Fetch returns the snapshot of the entry VM at address.
-func Fetch(ctx context.Context, address netip.AddrPort) (*Snapshot, error) {
+// cache holds the compressed form of the last snapshot, because many entry VMs request the same one when a fleet
+// starts.
+type cache struct {
+	mu                sync.Mutex
+	revision, version uint64
+	bytes             []byte
+}
+
+func (c *cache) compress(s *Snapshot) ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.bytes != nil && c.revision == s.Revision && c.version == s.Configuration.Version {
+		return c.bytes, nil
+	}
+	b, err := cbor.Marshal(s)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	var out bytes.Buffer
+	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if _, err := w.Write(b); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	c.revision, c.version, c.bytes = s.Revision, s.Configuration.Version, out.Bytes()
+	return c.bytes, nil
+}
+
+// Fetch returns the snapshot of the entry VM at address. It returns an error if the snapshot is older than maxAge,
+// unless maxAge is 0.
+func Fetch(ctx context.Context, address netip.AddrPort, maxAge time.Duration) (*Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+path, nil)
+	target := "http://" + address.String() + path
+	if maxAge > 0 {
+		target += "?" + maxAgeParameter + "=" + strconv.FormatInt(maxAge.Milliseconds(), 10)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
