--- a/cmd/masticspard/dsr_test.go
+++ b/cmd/masticspard/dsr_test.go
@@ -230,7 +230,7 @@
 	s := newDSRSite(t, "i-1")
 	first := s.settings("entry-1")
 	d1, _ := s.start(first)
-	s.waitFor("first daemon ready", isReady(first))
+	s.waitFor("first daemon serves its state", func() bool { return d1.snapshot(time.Minute) != nil })
 	second := s.settings("entry-2", first.PeerAddress)
 	// Contacts get the port of the own peer address, so the daemons need different IP addresses.
 	second.PeerAddress = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), first.PeerAddress.Port())
