Fill gaps between announcements with one call to the store

Cause: an entry VM that missed an announcement read all pages of the store.

Change: it reads the changes since its own revision with one watch that does not wait.

--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -344,8 +344,9 @@
 	}
 	if a.NeedsRead {
 		d.counters.Add("store-retry-announcement-gap", 1)
-		d.replica.Resync(false)
-	} else if a.NeedsConfiguration {
+		d.replica.CatchUp()
+	}
+	if a.NeedsConfiguration {
 		d.replica.Resync(true)
 	}
 }
--- a/internal/announce/group.go
+++ b/internal/announce/group.go
@@ -81,7 +81,7 @@
 	Apply []registry.Change
 	// Revision is the receiver's revision after Apply; 0 leaves it unchanged.
 	Revision uint64
-	// NeedsRead reports whether the store has to be read because changes are missing.
+	// NeedsRead reports whether the changes since the receiver's revision have to be read from the store.
 	NeedsRead bool
 	// NeedsConfiguration reports whether only the configuration has to be read from the store.
 	NeedsConfiguration bool
--- a/internal/bootstrap/agent.go
+++ b/internal/bootstrap/agent.go
@@ -11,6 +11,9 @@
 	replyTimeout = 350 * time.Millisecond
 	// stateTimeout is how long an entry VM waits for the state of another one before it reads the store.
 	stateTimeout = 900 * time.Millisecond
+	// memberDelay is how long after its own start a contact takes members for sources only if they sent a notice. When
+	// the whole fleet starts at once, the others may have no state yet.
+	memberDelay = 5 * time.Second
 )
 
 // Action is what an entry VM that starts has to do next.
@@ -87,17 +90,16 @@
 // Tick repeats the query and applies the timeouts. It must be called several times per second.
 func (a *Agent) Tick(now time.Duration) {
 	a.expire(now)
-	if a.phase != phaseWaiting {
-		return
-	}
 	switch {
+	case a.phase == phaseIdle || a.phase == phaseSynced:
+		return
+	case a.phase != phaseWaiting:
 	case !a.replied && now-a.startedAt >= replyTimeout:
 		a.decide(Action{Read: true, Reason: ReasonNoContact})
 	case now-a.startedAt >= stateTimeout:
 		a.decide(Action{Read: true, Reason: ReasonNoSource})
-	default:
-		a.query(now)
 	}
+	a.query(now) // A contact that has started in the meantime must know that this entry VM has no state yet.
 }
 
 // Synced records that this entry VM has the state and informs the contacts. Later calls have no effect.
@@ -130,6 +132,7 @@
 func (a *Agent) query(now time.Duration) {
 	m := &Message{
 		From: a.Address, AvailabilityZone: a.AvailabilityZone, Size: a.Size, Synced: a.phase == phaseSynced,
+		Busy: a.phase == phaseFetching || a.phase == phaseReading,
 	}
 	for _, c := range a.Contacts {
 		if c == a.Address {
@@ -181,9 +184,9 @@
 		return
 	}
 	s.size, s.synced, s.seenAt = m.Size, m.Synced, now
-	s.waiting = !m.Synced
+	s.waiting = !m.Synced && !m.Busy
 	a.refer(now, m.AvailabilityZone, z)
-	if s.waiting && !z.hasReader(now) && len(a.sources(m.AvailabilityZone, z)) == 0 {
+	if s.waiting && !z.hasReader(now) && len(a.sources(now, m.AvailabilityZone, z)) == 0 {
 		s.waiting, s.readAt = false, now
 		a.reply(m.From, &Message{Read: true})
 	} else if s.waiting {
@@ -193,7 +196,7 @@
 
 // refer refers the entry VMs of a zone that wait, the largest first, to sources with a free transfer.
 func (a *Agent) refer(now time.Duration, name string, z *zone) {
-	sources := a.sources(name, z)
+	sources := a.sources(now, name, z)
 	for _, s := range z.waiting() {
 		chosen := z.choose(now, sources)
 		if len(chosen) == 0 {
@@ -204,16 +207,19 @@
 	}
 }
 
-// sources returns the entry VMs of a zone that have the state: those that sent a notice, and members that are not
-// known to be starting, this one included.
-func (a *Agent) sources(name string, z *zone) []Source {
+// sources returns the entry VMs of a zone that have the state: those that sent a notice, this one, and members that
+// are not known to be starting.
+func (a *Agent) sources(now time.Duration, name string, z *zone) []Source {
 	var list []Source
 	for _, s := range z.starters {
 		if s.synced {
 			list = append(list, Source{Address: s.address, Size: s.size})
 		}
 	}
-	members := a.Members(name)
+	var members []Source
+	if now-a.startedAt >= memberDelay {
+		members = a.Members(name)
+	}
 	if name == a.AvailabilityZone && a.phase == phaseSynced {
 		members = append(members, Source{Address: a.Address, Size: a.Size})
 	}
--- a/internal/bootstrap/message.go
+++ b/internal/bootstrap/message.go
@@ -30,6 +30,8 @@
 	Size uint32 `cbor:"4,keyasint,omitempty"`
 	// Synced marks a notice: the sender has the state.
 	Synced bool `cbor:"5,keyasint,omitempty"`
+	// Busy marks a query that needs no referral, because its sender already fetches the state or reads the store.
+	Busy bool `cbor:"8,keyasint,omitempty"`
 	// Read is set in a reply if the receiver has to read the store.
 	Read bool `cbor:"6,keyasint,omitempty"`
 	// Sources are the entry VMs in a reply that have the state, at most 2. A reply with neither Read nor Sources asks
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -24,6 +24,8 @@
 const (
 	// readTimeout bounds one read; a slow store takes up to 0.25 s.
 	readTimeout = 1500 * time.Millisecond
+	// catchUpWait is the wait of a watch that reads changes which have already been made; the least that the store allows.
+	catchUpWait = time.Millisecond
 	// watchMargin is how long after WatchTimeout the reply to a watch may arrive.
 	watchMargin = 700 * time.Millisecond
 	// minBackoff and maxBackoff bound the delay before a retry, from which up to half is then subtracted at random. Every
@@ -98,6 +100,7 @@
 	synced           bool // whether the state is complete
 	configurationDue bool // whether the next step reads only the configuration
 	readingDue       bool // whether such a read is in progress
+	catchUpDue       bool // whether the next step reads the changes since revision, even if others watch the store
 	fullRead         fullRead
 
 	// Written with mu held, so that StoreDown can read them.
@@ -197,11 +200,18 @@
 	}
 }
 
+// CatchUp requests the changes since Revision as the next call, because they did not arrive from another process.
+func (r *Replica) CatchUp() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.catchUpDue = true
+}
+
 // step makes one call or one full read and returns the delay before the next step.
 func (r *Replica) step(ctx context.Context) time.Duration {
 	r.mu.Lock()
-	synced, configurationDue := r.synced, r.configurationDue
-	r.configurationDue, r.readingDue = false, configurationDue
+	synced, configurationDue, catchUpDue := r.synced, r.configurationDue, r.catchUpDue
+	r.configurationDue, r.readingDue, r.catchUpDue = false, configurationDue, false
 	r.mu.Unlock()
 	defer func() {
 		r.mu.Lock()
@@ -212,7 +222,12 @@
 	case !synced:
 		return r.readAll(ctx)
 	case configurationDue:
+		if catchUpDue {
+			r.CatchUp()
+		}
 		return r.readConfiguration(ctx)
+	case catchUpDue:
+		return r.catchUp(ctx)
 	case r.ShouldRead != nil && !r.ShouldRead():
 		return roleCheckInterval
 	}
@@ -320,27 +335,43 @@
 	}
 }
 
+// catchUp reads the changes since the current revision. A call that fails is repeated.
+func (r *Replica) catchUp(ctx context.Context) time.Duration {
+	delay, err := r.readChanges(ctx, catchUpWait)
+	if err != nil {
+		r.CatchUp()
+	}
+	return delay
+}
+
 func (r *Replica) watch(ctx context.Context) time.Duration {
+	delay, _ := r.readChanges(ctx, r.WatchTimeout) // The next step repeats a call that failed.
+	return delay
+}
+
+// readChanges waits up to the given time for changes since the current revision and applies them. It returns the delay
+// before the next step.
+func (r *Replica) readChanges(ctx context.Context, wait time.Duration) (time.Duration, error) {
 	r.Counters.Add("store-watches", 1)
-	call, cancel := context.WithTimeout(ctx, r.WatchTimeout+watchMargin)
+	call, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
 	since := r.Revision()
-	page, err := r.Watch(call, since, r.WatchTimeout)
+	page, err := r.Watch(call, since, wait)
 	if errors.Is(err, ErrCompacted) {
 		r.Counters.Add("store-retry-forgotten", 1)
 		r.Resync(false)
-		return 0
+		return 0, nil
 	}
 	if err != nil {
-		return r.recordFailure(err)
+		return r.recordFailure(err), err
 	}
 	r.recordSuccess()
 	r.Apply(page.Changes, since, max(since, page.Revision), r.recentOutage())
 	r.Advance(page.Revision)
 	if len(page.Changes) == 0 {
-		return 0
+		return 0, nil
 	}
-	return r.BatchDelay
+	return r.BatchDelay, nil
 }
 
 // adoptPeer adopts the snapshot of another process while the store does not reply. That process may not yet have read a
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -315,6 +315,29 @@
 	expectRevision(t, r, 8)
 }
 
+// Guards against a full read of all pages for a few changes whose announcements were lost, and against losing the
+// request when the store refuses the call.
+func TestCatchUpReadsOnlyChanges(t *testing.T) {
+	is := is.New(t)
+	s := newStubStore()
+	s.reader = false
+	c := s.config()
+	r := s.follow(t, c)
+	reads := c.Counters.Counter("store-reads").Count()
+	r.CatchUp()
+	s.watches <- result{err: ErrRefused}
+	s.expect(t, "lost")
+	s.watches <- result{page: Page{Revision: 9, Changes: []registry.Change{{Name: "i-1", Revision: 9}}}}
+	s.expect(t, "regained")
+	s.expect(t, "apply during outage")
+	expectRevision(t, r, 9)
+	is.Equal(c.Counters.Counter("store-reads").Count(), reads)
+	r.CatchUp()
+	s.watches <- result{err: ErrCompacted}
+	s.reads <- result{page: Page{Revision: 12}}
+	s.expect(t, "replace during outage")
+}
+
 // Guards against a configuration that is not read although another process announced it.
 func TestReadsConfigurationOnRequest(t *testing.T) {
 	s := newStubStore()
