Open sending sockets at first use

A process that starts opened 16 sending sockets before it forwarded a packet, about 100 of its 700 system calls. TestFullQueueDropsAndCounts opens the socket whose writes it replaces.

--- a/internal/fabric/socket.go
+++ b/internal/fabric/socket.go
@@ -41,13 +41,14 @@
 	tb         tomb.Tomb
 	mu         sync.Mutex
 	pool       [poolSize]sender
+	closed     bool
 	queueFull  metrics.Counter
 	sendErrors metrics.Counter
 	readErrors metrics.Counter
 	oversized  metrics.Counter
 }
 
-// New opens the sockets on address and starts the reader, which calls handler for each batch. The second result closes
+// New opens the receiving socket on address and starts the reader, which calls handler for each batch. The second result closes
 // the sockets after the last call of handler. The handler can run before New returns, so a handler that uses the Socket
 // must take a lock that the caller of New holds until it has stored the Socket. counters may be nil.
 func New(address netip.AddrPort, counters *counter.Set, handler func(batch []Datagram)) (*Socket, func(), error) {
@@ -60,13 +61,6 @@
 		return nil, nil, errors.Annotatef(err, "opening the receiving socket on %s", address)
 	}
 	s.conn = conn
-	bound := s.Addr().Addr()
-	for i := range s.pool {
-		if err := s.pool[i].open(netip.AddrPortFrom(bound, 0)); err != nil {
-			s.closeAll()
-			return nil, nil, errors.Annotatef(err, "opening a sending socket on %s", bound)
-		}
-	}
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		s.closeAll()
@@ -104,8 +98,8 @@
 }
 
 // Send queues a copy of datagram for the address to. The flow hash and the time now select the sending socket. Send
-// reports whether the datagram was queued: it is dropped and counted if it is too large, or if the queue is full
-// because the kernel accepts no datagrams.
+// reports whether the datagram was queued: it is dropped and counted if it is too large, if the sending socket cannot be
+// opened, or if the queue is full because the kernel accepts no datagrams.
 func (s *Socket) Send(to netip.AddrPort, datagram []byte, hash uint64, now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -114,6 +108,12 @@
 		return false
 	}
 	p := &s.pool[poolIndex(hash, now)]
+	if p.conn == nil { // Opened at first use, because a process that starts must forward packets as early as possible.
+		if s.closed || p.open(netip.AddrPortFrom(s.Addr().Addr(), 0)) != nil {
+			s.sendErrors.Inc(1)
+			return false
+		}
+	}
 	if p.queued == queueSize {
 		p.flush(s.sendErrors)
 	}
@@ -142,6 +142,7 @@
 func (s *Socket) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	_ = s.conn.Close()
 	for i := range s.pool {
 		if s.pool[i].conn != nil {
--- a/internal/fabric/socket_test.go
+++ b/internal/fabric/socket_test.go
@@ -113,6 +113,7 @@
 	is.NoErr(err)
 	defer stop()
 	p := &s.pool[0]
+	is.NoErr(p.open(netip.AddrPortFrom(s.Addr().Addr(), 0)))
 	write, accept, order := p.write, 0, []int(nil)
 	p.write = func(messages []ipv4.Message, _ int) (int, error) {
 		n := min(accept, len(messages))
@@ -139,6 +140,16 @@
 	}
 }
 
+// Guards against sending sockets that are opened, and never closed, after the Socket was closed.
+func TestSendAfterCloseOpensNoSocket(t *testing.T) {
+	is := is.New(t)
+	s, stop, err := New(loopback4, nil, func([]Datagram) {})
+	is.NoErr(err)
+	stop()
+	is.True(!s.Send(loopback4, []byte("late"), 0, 0))
+	is.Equal(s.pool[0].conn, nil)
+}
+
 // Guards against losing the rest of a batch because the kernel rejects one datagram of it.
 func TestRefusedDatagramIsSkipped(t *testing.T) {
 	is := is.New(t)
