--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -70,8 +70,9 @@
 	}
 	p.group = announce.Group{Self: s.Name, AvailabilityZone: s.AvailabilityZone, Send: p.sendAnnouncement}
 	p.bootstrap = bootstrap.Agent{
-		Address: s.PeerAddress, AvailabilityZone: s.AvailabilityZone, Size: p.list.Self.Size, Contacts: contacts(s),
-		Members: p.bootstrapSources, Send: p.sendBootstrap, Decide: func(a bootstrap.Action) { p.actions <- a },
+		Address: s.PeerAddress, AvailabilityZone: s.AvailabilityZone, Size: p.list.Self.Size, Seed: p.list.Seed,
+		Contacts: contacts(s),
+		Members:  p.bootstrapSources, Send: p.sendBootstrap, Decide: func(a bootstrap.Action) { p.actions <- a },
 	}
 	return p
 }
--- a/internal/bootstrap/agent.go
+++ b/internal/bootstrap/agent.go
@@ -1,14 +1,16 @@
 package bootstrap
 
 import (
+	"math"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 )
 
 const (
-	// replyTimeout is how long an entry VM waits for the first reply of a contact before it reads the store. Contacts
-	// of a fleet that starts at once may start a few hundred milliseconds later.
-	replyTimeout = 350 * time.Millisecond
+	// replyTimeout is the longest time that an entry VM waits for the first reply of a contact before it reads the
+	// store. Contacts of a fleet that starts at once may start a few hundred milliseconds later.
+	replyTimeout = 400 * time.Millisecond
 	// stateTimeout is how long an entry VM waits for the state of another one before it reads the store.
 	stateTimeout = 900 * time.Millisecond
 	// memberDelay is how long after its own start a contact takes members for sources only if they sent a notice. When
@@ -51,6 +53,8 @@
 	AvailabilityZone string
 	// Size is the size of this entry VM in thousandths of a core.
 	Size uint32
+	// Seed makes the random choices reproducible.
+	Seed uint64
 	// Contacts are the contacts of the settings; they may include this entry VM.
 	Contacts []netip.AddrPort
 	// Members returns the other entry VMs of an availability zone that are known to run.
@@ -62,6 +66,7 @@
 	Decide func(a Action)
 
 	startedAt time.Duration
+	readAt    time.Duration // when the store is read if no contact has replied
 	phase     phase
 	replied   bool // whether a contact has replied
 	zones     map[string]*zone
@@ -79,6 +84,10 @@
 
 // Start begins the search for the state.
 func (a *Agent) Start(now time.Duration) {
+	// While the contacts do not reply, a few entry VMs read the store early, and more of them later: they are sources for
+	// the others as soon as a contact replies, and without contacts the store is not read by all at the same time.
+	random := rand.New(rand.NewPCG(a.Seed, a.Seed))
+	a.readAt = now + time.Duration(math.Sqrt(random.Float64())*float64(replyTimeout))
 	a.startedAt, a.phase = now, phaseWaiting
 	if len(a.Contacts) == 0 {
 		a.decide(Action{Read: true, Reason: ReasonNoContact})
@@ -94,7 +103,7 @@
 	case a.phase == phaseIdle || a.phase == phaseSynced:
 		return
 	case a.phase != phaseWaiting:
-	case !a.replied && now-a.startedAt >= replyTimeout:
+	case !a.replied && now >= a.readAt:
 		a.decide(Action{Read: true, Reason: ReasonNoContact})
 	case now-a.startedAt >= stateTimeout:
 		a.decide(Action{Read: true, Reason: ReasonNoSource})
--- a/internal/bootstrap/agent_test.go
+++ b/internal/bootstrap/agent_test.go
@@ -82,7 +82,7 @@
 			v := &vm{startAt: time.Duration(f.random.IntN(300)) * time.Millisecond}
 			v.Agent = Agent{
 				Address: address(z, i), AvailabilityZone: fmt.Sprint("zone-", z), Size: sizes[f.random.IntN(len(sizes))],
-				Contacts: contacts, Members: func(string) []Source { return nil },
+				Seed: f.random.Uint64(), Contacts: contacts, Members: func(string) []Source { return nil },
 				Send:   func(to netip.AddrPort, m *Message) { f.send(v, to, m) },
 				Decide: func(a Action) { f.decide(v, a) },
 			}
@@ -203,6 +203,19 @@
 	}
 }
 
+// Replays the start of a whole fleet whose contacts start last, 0.3 s after the first VMs: others must not wait for the
+// contacts to begin reading, and most of them must not read the store.
+func TestFleetStartsWithLateContacts(t *testing.T) {
+	f := newFleet(t, 5, 59)
+	for _, c := range f.vms[0].Contacts {
+		f.byAddr[c].startAt = 300 * time.Millisecond
+	}
+	longest := f.run(3 * time.Second)
+	if f.storeReads > 295/3 || longest > 600*time.Millisecond {
+		t.Fatalf("%d VMs read the store and the slowest took %v, want at most 98 and 600ms", f.storeReads, longest)
+	}
+}
+
 // Guards against a fleet that does not start without its contacts: all VMs read the store after a bounded wait.
 func TestFleetStartsWithoutContacts(t *testing.T) {
 	f := newFleet(t, 3, 20)
