Pace the announcements of a burst of changes

Cause: 180 changes make 23 messages for each of 59 VMs, 1.5 MB at once, twice repeated. A link of 20 Mbit/s drops part of them, and each receiver with a gap calls the store. Change: at most 120 datagrams in 100 ms, new changes before repeated ones, at most 128 messages waiting.

--- a/cmd/masticspard/dsr_store.go
+++ b/cmd/masticspard/dsr_store.go
@@ -80,7 +80,7 @@
 	d.log.Info("picture-read", zap.Int("entries", len(changes)), zap.Uint64("revision", revision),
 		zap.Bool("away", storeDown))
 	if d.peers != nil {
-		d.peers.group.Publish(d.timer.Now(), revision, revision, d.engine.Registry.Version(), nil)
+		d.peers.group.Publish(revision, revision, d.engine.Registry.Version(), nil)
 	}
 }
 
@@ -94,7 +94,7 @@
 		}
 	})
 	if d.peers != nil {
-		d.peers.group.Publish(d.timer.Now(), since, revision, d.engine.Registry.Version(), changes)
+		d.peers.group.Publish(since, revision, d.engine.Registry.Version(), changes)
 	}
 }
 
--- a/internal/announce/group.go
+++ b/internal/announce/group.go
@@ -1,6 +1,7 @@
 package announce
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -26,6 +27,10 @@
 	gapTimeout = 700 * time.Millisecond
 	// repeatPeriod is the time for which changes are repeated.
 	repeatPeriod = 1200 * time.Millisecond
+	// datagramsPerTick bounds the datagrams of one Tick, so that a burst of changes does not fill the link of a small VM.
+	datagramsPerTick = 120
+	// maxBatches bounds the batches that are kept; receivers that miss an older one read the store.
+	maxBatches = 128
 	// maxChanges is the greatest number of changes in a message, so that it fits into maxMessageBytes.
 	maxChanges = 8
 	// maxMessageBytes is the greatest size of an encoded message in bytes.
@@ -100,16 +105,18 @@
 	reader     bool
 	receivedAt time.Duration // time of the last announcement from another entry VM; initially startedAt
 	gapSince   time.Duration // time since which changes are missing; 0 if none are missing
-	batches    []batch       // changes published within repeatPeriod, oldest first
+	batches    []batch       // published changes, oldest first
 	latest     batch         // newest revision, without changes; zero while the store is unavailable
 	version    uint64        // version of the active configuration
 	announceAt time.Duration // when the next announcement is due
 }
 
 type batch struct {
-	at              time.Duration // when the changes were published
 	since, revision uint64
 	changes         []registry.Change
+	sent            bool
+	firstSentAt     time.Duration
+	dueAt           time.Duration // when the changes are sent again
 }
 
 // Start records the time at which this entry VM starts. One that is alone has no other members to wait for.
@@ -151,9 +158,9 @@
 
 // Publish queues the changes after since up to revision, which this entry VM has read from the store, for announcement.
 // Tick announces them while this entry VM is a reader. version is the version of the active configuration.
-func (g *Group) Publish(now time.Duration, since, revision, version uint64, changes []registry.Change) {
+func (g *Group) Publish(since, revision, version uint64, changes []registry.Change) {
 	g.version = version
-	g.latest = batch{at: now, since: revision, revision: revision}
+	g.latest = batch{since: revision, revision: revision}
 	var servers []registry.Change
 	for _, c := range changes {
 		if c.Name != "" {
@@ -162,15 +169,13 @@
 	}
 	for len(servers) > maxChanges { // Split at a revision; the changes are in the order of their revisions.
 		to := servers[maxChanges-1].Revision
-		g.batches = append(g.batches, batch{now, since, to, servers[:maxChanges]})
+		g.batches = append(g.batches, batch{since: since, revision: to, changes: servers[:maxChanges]})
 		servers, since = servers[maxChanges:], to
 	}
 	if len(servers) > 0 || since < revision {
-		g.batches = append(g.batches, batch{now, since, revision, servers})
-	}
-	if g.reader && len(g.batches) > 0 {
-		g.announceAt = now // The next Tick sends the batches.
+		g.batches = append(g.batches, batch{since: since, revision: revision, changes: servers})
 	}
+	g.batches = g.batches[max(0, len(g.batches)-maxBatches):]
 }
 
 // StoreLost records that the store is unavailable to this entry VM. Its revision may then be outdated, so it announces
@@ -179,19 +184,42 @@
 
 // Tick sends the announcements that are due. It must be called several times per period of 500 ms.
 func (g *Group) Tick(now time.Duration) {
-	for len(g.batches) > 0 && now-g.batches[0].at > repeatPeriod {
-		g.batches = g.batches[1:]
+	g.batches = slices.DeleteFunc(g.batches, func(b batch) bool { return b.sent && now-b.firstSentAt > repeatPeriod })
+	if !g.reader {
+		g.batches = nil
+		return
 	}
-	if !g.reader || now < g.announceAt || g.latest.revision == 0 {
+	if g.latest.revision == 0 {
 		return
 	}
-	g.announceAt = now + period
-	if len(g.batches) == 0 {
+	if len(g.batches) > 0 {
+		g.sendBatches(now)
+		g.announceAt = now + period
+	} else if now >= g.announceAt {
+		g.announceAt = now + period
 		g.announce(g.latest)
-		return
 	}
-	for _, b := range g.batches {
-		g.announce(b)
+}
+
+// sendBatches sends the batches that were not sent yet and then repeats older ones, within datagramsPerTick.
+func (g *Group) sendBatches(now time.Duration) {
+	budget := datagramsPerTick
+	for _, repeat := range []bool{false, true} {
+		for i := range g.batches {
+			b := &g.batches[i]
+			if b.sent != repeat || repeat && now < b.dueAt {
+				continue
+			}
+			if budget < len(g.zone) && budget < datagramsPerTick {
+				return
+			}
+			budget -= len(g.zone)
+			if !b.sent {
+				b.sent, b.firstSentAt = true, now
+			}
+			b.dueAt = now + period
+			g.announce(*b)
+		}
 	}
 }
 
--- a/internal/announce/group_test.go
+++ b/internal/announce/group_test.go
@@ -16,6 +16,7 @@
 type zone struct {
 	now    time.Duration
 	groups map[string]*vm
+	sent   int // datagrams
 }
 
 type vm struct {
@@ -42,6 +43,7 @@
 }
 
 func (z *zone) send(to []member.Member, m *Message) {
+	z.sent += len(to)
 	for _, one := range to {
 		z.deliver(z.groups[one.Name], m)
 	}
@@ -104,7 +106,7 @@
 	}
 	since := g.revision
 	g.revision = revision
-	g.Publish(now, since, revision, g.version, changes)
+	g.Publish(since, revision, g.version, changes)
 }
 
 // Guards against a zone in which all entry VMs read the store, or none.
@@ -154,6 +156,41 @@
 	is.True(z.nonReader().ShouldRead(z.now))
 }
 
+// Guards against a burst of changes, such as the registration of hundreds of servers after an outage, that fills the
+// link of a reader at once, so that the other VMs of the zone miss changes and all of them read the store.
+func TestBurstOfChangesIsPaced(t *testing.T) {
+	is := is.New(t)
+	z := newZone(60)
+	for _, g := range z.readers() {
+		g.publish(z.now, 5)
+	}
+	z.advance(200 * time.Millisecond)
+	names := make([]string, 180)
+	for i := range names {
+		names[i] = fmt.Sprint("i-", i)
+	}
+	reader := z.readers()[0]
+	reader.publish(z.now, reader.revision+uint64(len(names)), names...)
+	most := 0
+	for range 30 {
+		before := z.sent
+		reader.Tick(z.now)
+		most = max(most, z.sent-before)
+		z.now += 100 * time.Millisecond
+	}
+	is.True(most <= datagramsPerTick)
+	for _, g := range z.groups {
+		if g.reader {
+			continue
+		}
+		is.Equal(g.revision, reader.revision)
+		is.Equal(g.applied, names)
+		for _, a := range g.actions {
+			is.True(!a.NeedsRead)
+		}
+	}
+}
+
 // Guards against changes that are lost with a datagram: they have to be repeated in order, in datagrams within the size
 // limit.
 func TestRepeatsLostChanges(t *testing.T) {
