Read an announced configuration from the entry VM that announced it

Cause: each of 295 entry VMs read a new configuration from the store. With 1,600 more routes that is 90 MB through the link of the store, and at least one call of each VM for each version. Change: the VM that announced the version serves it compressed; its version must be the announced one or a later one. The store is read if that fails.

--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -19,6 +19,7 @@
 	"github.com/masticspar/masticspar/internal/fabric"
 	"github.com/masticspar/masticspar/internal/lookup"
 	"github.com/masticspar/masticspar/internal/member"
+	"github.com/masticspar/masticspar/internal/registry"
 	"github.com/masticspar/masticspar/internal/replica"
 	"github.com/masticspar/masticspar/internal/snapshot"
 )
@@ -54,6 +55,10 @@
 	log       *zap.Logger
 	now       func() time.Duration
 	out       []byte // datagram that is being sent; the buffer is reused
+
+	// The member that announced the newest configuration, and its version.
+	configurationSource  netip.AddrPort
+	configurationVersion uint64
 }
 
 func newPeers(s *dsrsettings.Settings, counters *counter.Set, log *zap.Logger, now func() time.Duration) *peers {
@@ -348,10 +353,31 @@
 		d.replica.CatchUp()
 	}
 	if a.NeedsConfiguration {
+		if vm, ok := d.peers.list.Get(m.From); ok {
+			d.peers.configurationSource, d.peers.configurationVersion = vm.Control, m.Version
+		}
 		d.replica.Resync(true)
 	}
 }
 
+// fetchConfiguration returns the configuration of the entry VM that announced it. If each entry VM read it from the
+// store, a large one would fill the link of the store.
+func (d *dsrDaemon) fetchConfiguration(ctx context.Context) (replica.Page, error) {
+	d.mu.Lock()
+	source, version := d.peers.configurationSource, d.peers.configurationVersion
+	d.peers.configurationSource = netip.AddrPort{}
+	d.mu.Unlock()
+	if !source.IsValid() {
+		return replica.Page{}, errors.New("no entry VM announced a configuration")
+	}
+	c, err := snapshot.FetchConfiguration(ctx, source, version)
+	if err != nil {
+		d.log.Info("configuration-source-failed", zap.Stringer("source", source), zap.Error(err))
+		return replica.Page{}, errors.Trace(err)
+	}
+	return replica.Page{Changes: []registry.Change{{Configuration: c}}}, nil
+}
+
 // queryPeers queries other entry VMs for the servers of tokens.
 func (d *dsrDaemon) queryPeers(m *lookup.Message) {
 	d.counters.Add("lookup-tokens-asked", int64(len(m.Tokens)))
--- a/cmd/masticspard/dsr_store.go
+++ b/cmd/masticspard/dsr_store.go
@@ -32,7 +32,7 @@
 		Counters:     d.counters,
 	}
 	if d.peers != nil {
-		c.Bootstrap = d.bootstrap
+		c.Bootstrap, c.ReadPeerConfiguration = d.bootstrap, d.fetchConfiguration
 	}
 	r, stop := replica.New(c)
 	d.replica = r
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -64,6 +64,9 @@
 	// Bootstrap returns the state of another process once when this process starts, or an error if the store has to be
 	// read. It may block until one of both is known. Nil reads the store.
 	Bootstrap func(ctx context.Context) (Page, error)
+	// ReadPeerConfiguration returns the configuration of the process that announced it. It is called before
+	// ReadConfiguration, which is called only if it fails; nil disables it.
+	ReadPeerConfiguration func(ctx context.Context) (Page, error)
 	// ReadPeer returns the snapshot of another process. It is called when the store does not reply; nil disables it.
 	ReadPeer func(ctx context.Context) (Page, error)
 	// Replace is called with the result of a full read and its revision. storeDown reports whether the store was
@@ -72,7 +75,7 @@
 	// Apply is called with the changes after since up to revision, in order; the list may be empty. storeDown has the
 	// same meaning as in Replace.
 	Apply func(changes []registry.Change, since, revision uint64, storeDown bool)
-	// Adopt is called with the snapshot of another process and its revision. complete reports whether the snapshot is at
+	// Adopt is called with the snapshot or configuration of another process and its revision. complete reports whether the snapshot is at
 	// least as new as the state of this Replica, so that servers missing from it are gone.
 	Adopt func(changes []registry.Change, revision uint64, complete bool)
 	// ShouldRead reports whether this process has to watch the store itself; nil means that it has to.
@@ -235,6 +238,15 @@
 }
 
 func (r *Replica) readConfiguration(ctx context.Context) time.Duration {
+	if r.ReadPeerConfiguration != nil {
+		page, err := r.ReadPeerConfiguration(ctx)
+		if err == nil {
+			r.Counters.Add("peer-configuration-reads", 1)
+			r.Adopt(page.Changes, r.Revision(), false)
+			return 0
+		}
+		r.Counters.Add("peer-retry-configuration", 1)
+	}
 	r.Counters.Add("store-reads", 1)
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -315,6 +315,37 @@
 	expectRevision(t, r, 8)
 }
 
+// Guards against a configuration that all processes of a large fleet read from the store although another one has it,
+// against one that is never read because that process fails, and against an outage of the store that seems to end with
+// the reply of another process.
+func TestReadsConfigurationOfPeerFirst(t *testing.T) {
+	is := is.New(t)
+	s := newStubStore()
+	s.reader = false
+	c := s.config()
+	peer := make(chan result, 2)
+	c.ReadPeerConfiguration = func(ctx context.Context) (Page, error) { return receive(ctx, peer) }
+	r := s.follow(t, c)
+	reads := c.Counters.Counter("store-reads").Count()
+	peer <- result{page: Page{Changes: []registry.Change{{Configuration: &registry.Configuration{Version: 2}}}}}
+	r.Resync(true)
+	s.expect(t, "adopt older")
+	is.Equal(c.Counters.Counter("store-reads").Count(), reads)
+	peer <- result{err: ErrRefused}
+	s.reads <- result{page: Page{Changes: []registry.Change{{Configuration: &registry.Configuration{Version: 3}}}}}
+	r.Resync(true)
+	s.expect(t, "apply")
+	is.Equal(c.Counters.Counter("store-reads").Count(), reads+1)
+
+	s.reads <- result{err: ErrRefused}
+	peer <- result{err: ErrRefused}
+	r.Resync(true)
+	s.expect(t, "lost")
+	peer <- result{page: Page{Changes: []registry.Change{{Configuration: &registry.Configuration{Version: 4}}}}}
+	s.expect(t, "adopt older")
+	is.True(r.StoreDown())
+}
+
 // Guards against a full read of all pages for a few changes whose announcements were lost, and against losing the
 // request when the store refuses the call.
 func TestCatchUpReadsOnlyChanges(t *testing.T) {
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -22,6 +22,8 @@
 
 const (
 	path = "/picture"
+	// configurationPath returns the configuration alone.
+	configurationPath = "/configuration"
 	// maxAgeParameter is the query parameter with the greatest accepted age of the snapshot in milliseconds.
 	maxAgeParameter = "max-age-ms"
 	// timeout bounds a transfer; the network delay between entry VMs is a few milliseconds.
@@ -58,12 +60,20 @@
 			return nil, errors.Errorf("snapshot entry of server %q has no host, no address or another name", c.Name)
 		}
 	}
-	for _, r := range s.Configuration.Routes {
+	if err := checkRoutes(&s.Configuration); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// checkRoutes returns an error if a route has no service, which the engine relies on.
+func checkRoutes(c *registry.Configuration) error {
+	for _, r := range c.Routes {
 		if len(r.Targets) == 0 {
-			return nil, errors.Errorf("snapshot route %q has no service", r.Name)
+			return errors.Errorf("route %q has no service", r.Name)
 		}
 	}
-	return s, nil
+	return nil
 }
 
 // Changes returns the snapshot as changes for a Registry.
@@ -78,7 +88,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "listening for snapshot requests on %s", address)
 	}
-	var c cache
+	var complete, configuration cache
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
 		maxAge, err := strconv.ParseUint(r.FormValue(maxAgeParameter), 10, 31)
@@ -91,14 +101,15 @@
 			http.Error(w, "no picture", http.StatusServiceUnavailable)
 			return
 		}
-		b, err := c.compress(s)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
+		reply(w, &complete, cacheKey{s.Revision, s.Configuration.Version}, s)
+	})
+	mux.HandleFunc("GET "+configurationPath, func(w http.ResponseWriter, _ *http.Request) {
+		s := current(0)
+		if s == nil {
+			http.Error(w, "no configuration", http.StatusServiceUnavailable)
 			return
 		}
-		w.Header().Set("Content-Encoding", "gzip")
-		w.Header().Set("Content-Length", strconv.Itoa(len(b)))
-		_, _ = w.Write(b) // The receiver detects a truncated snapshot.
+		reply(w, &configuration, cacheKey{version: s.Configuration.Version}, &s.Configuration)
 	})
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: timeout, WriteTimeout: timeout}
 	var tb tomb.Tomb
@@ -114,21 +125,38 @@
 	}, nil
 }
 
-// cache holds the compressed form of the last snapshot, because many entry VMs request the same one when a fleet
-// starts.
-type cache struct {
-	mu                sync.Mutex
+// reply sends the compressed form of v, which key identifies.
+func reply(w http.ResponseWriter, c *cache, key cacheKey, v any) {
+	b, err := c.compress(key, v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	_, _ = w.Write(b) // The receiver detects a truncated reply.
+}
+
+// cacheKey identifies a state that was compressed.
+type cacheKey struct {
 	revision, version uint64
-	bytes             []byte
 }
 
-func (c *cache) compress(s *Snapshot) ([]byte, error) {
+// cache holds the compressed form of the last state, because many entry VMs request the same one when a fleet starts or
+// the configuration changes.
+type cache struct {
+	mu    sync.Mutex
+	key   cacheKey
+	bytes []byte
+}
+
+func (c *cache) compress(key cacheKey, v any) ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.bytes != nil && c.revision == s.Revision && c.version == s.Configuration.Version {
+	if c.bytes != nil && c.key == key {
 		return c.bytes, nil
 	}
-	b, err := cbor.Marshal(s)
+	b, err := cbor.Marshal(v)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -143,20 +171,49 @@
 	if err := w.Close(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	c.revision, c.version, c.bytes = s.Revision, s.Configuration.Version, out.Bytes()
+	c.key, c.bytes = key, out.Bytes()
 	return c.bytes, nil
 }
 
 // Fetch returns the snapshot of the entry VM at address. It returns an error if the snapshot is older than maxAge,
 // unless maxAge is 0.
 func Fetch(ctx context.Context, address netip.AddrPort, maxAge time.Duration) (*Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	target := "http://" + address.String() + path
+	target := path
 	if maxAge > 0 {
 		target += "?" + maxAgeParameter + "=" + strconv.FormatInt(maxAge.Milliseconds(), 10)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	b, err := get(ctx, address, target)
+	if err != nil {
+		return nil, errors.Annotate(err, "fetching snapshot")
+	}
+	s, err := Decode(b)
+	return s, errors.Annotatef(err, "fetching snapshot from %s", address)
+}
+
+// FetchConfiguration returns the configuration of the entry VM at address. It returns an error if its version is less
+// than minVersion.
+func FetchConfiguration(
+	ctx context.Context, address netip.AddrPort, minVersion uint64,
+) (*registry.Configuration, error) {
+	b, err := get(ctx, address, configurationPath)
+	if err != nil {
+		return nil, errors.Annotate(err, "fetching configuration")
+	}
+	c := &registry.Configuration{}
+	if err := decoder.Unmarshal(b, c); err != nil {
+		return nil, errors.Annotatef(err, "fetching configuration from %s", address)
+	}
+	if c.Version < max(minVersion, 1) {
+		return nil, errors.Errorf("configuration of %s has version %d, want at least %d", address, c.Version, minVersion)
+	}
+	return c, errors.Annotatef(checkRoutes(c), "fetching configuration from %s", address)
+}
+
+// get returns the body of a reply of the entry VM at address.
+func get(ctx context.Context, address netip.AddrPort, target string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+target, nil)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -167,12 +224,8 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("fetching snapshot from %s: unexpected status %d, want 200", address, response.StatusCode)
+		return nil, errors.Errorf("unexpected status %d from %s, want 200", response.StatusCode, address)
 	}
 	b, err := io.ReadAll(io.LimitReader(response.Body, maxSize))
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	s, err := Decode(b)
-	return s, errors.Annotatef(err, "fetching snapshot from %s", address)
+	return b, errors.Trace(err)
 }
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -82,6 +82,20 @@
 	}
 }
 
+// Guards against a configuration that is older than the one announced, and against one that is changed in transit.
+func TestFetchConfigurationRequiresVersion(t *testing.T) {
+	is := is.New(t)
+	a := freeAddress(t)
+	stop, err := Serve(a, func(time.Duration) *Snapshot { return sample() })
+	is.NoErr(err)
+	defer stop()
+	c, err := FetchConfiguration(context.Background(), a, 4)
+	is.NoErr(err)
+	is.Equal(*c, sample().Configuration)
+	_, err = FetchConfiguration(context.Background(), a, 5)
+	is.True(err != nil)
+}
+
 // Guards against an incomplete snapshot that would crash the receiver or leave it without routes.
 func TestDecodeRefusesIncompleteSnapshot(t *testing.T) {
 	for name, change := range map[string]func(*Snapshot){
