--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -24,6 +24,8 @@
 const (
 	// readTimeout bounds one read; a slow store takes up to 0.25 s.
 	readTimeout = 1500 * time.Millisecond
+	// catchUpWait is the wait of a watch that reads changes which have already been made; the least that the store allows.
+	catchUpWait = time.Millisecond
 	// watchMargin is how long after WatchTimeout the reply to a watch may arrive.
 	watchMargin = 700 * time.Millisecond
 	// minBackoff and maxBackoff bound the delay before a retry, from which up to half is then subtracted at random. Every
@@ -59,6 +61,12 @@
 	Watch func(ctx context.Context, after uint64, wait time.Duration) (Page, error)
 	// ReadConfiguration returns only the configuration.
 	ReadConfiguration func(ctx context.Context) (Page, error)
+	// Bootstrap returns the state of another process once when this process starts, or an error if the store has to be
+	// read. It may block until one of both is known. Nil reads the store.
+	Bootstrap func(ctx context.Context) (Page, error)
+	// ReadPeerConfiguration returns the configuration of the process that announced it. It is called before
+	// ReadConfiguration, which is called only if it fails; nil disables it.
+	ReadPeerConfiguration func(ctx context.Context) (Page, error)
 	// ReadPeer returns the snapshot of another process. It is called when the store does not reply; nil disables it.
 	ReadPeer func(ctx context.Context) (Page, error)
 	// Replace is called with the result of a full read and its revision. storeDown reports whether the store was
@@ -67,7 +75,7 @@
 	// Apply is called with the changes after since up to revision, in order; the list may be empty. storeDown has the
 	// same meaning as in Replace.
 	Apply func(changes []registry.Change, since, revision uint64, storeDown bool)
-	// Adopt is called with the snapshot of another process and its revision. complete reports whether the snapshot is at
+	// Adopt is called with the snapshot or configuration of another process and its revision. complete reports whether the snapshot is at
 	// least as new as the state of this Replica, so that servers missing from it are gone.
 	Adopt func(changes []registry.Change, revision uint64, complete bool)
 	// ShouldRead reports whether this process has to watch the store itself; nil means that it has to.
@@ -94,14 +102,18 @@
 	revision         uint64
 	synced           bool // whether the state is complete
 	configurationDue bool // whether the next step reads only the configuration
+	readingDue       bool // whether such a read is in progress
+	catchUpDue       bool // whether the next step reads the changes since revision, even if others watch the store
 	fullRead         fullRead
 
+	// Written with mu held, so that StoreDown can read them.
 	storeDown   bool          // whether the last call to the store failed
 	outageStart time.Duration // start of the current outage
 	outageEnd   time.Duration // end of the last outage
 	hadOutage   bool
-	failures    int           // consecutive calls that failed
-	peerReadAt  time.Duration // when the last snapshot of another process arrived
+
+	failures   int           // consecutive calls that failed
+	peerReadAt time.Duration // when the last snapshot of another process arrived
 }
 
 // fullRead is a full read in progress. The store may refuse one of its pages when all processes of a large fleet read
@@ -117,6 +129,7 @@
 	r := &Replica{Config: c}
 	ctx := r.tb.Context(context.Background())
 	r.tb.Go(func() error {
+		r.bootstrap(ctx)
 		for r.tb.Alive() {
 			if delay := r.step(ctx); delay > 0 {
 				select {
@@ -133,6 +146,38 @@
 	}
 }
 
+// bootstrap adopts the state of another process. Its configuration is as new as its revision, see Consistent, so the
+// configuration is not read from the store.
+func (r *Replica) bootstrap(ctx context.Context) {
+	if r.Bootstrap == nil {
+		return
+	}
+	page, err := r.Bootstrap(ctx)
+	if err != nil {
+		return // The reason was counted by the callback.
+	}
+	r.Counters.Add("bootstrapped-from-peer", 1)
+	r.Adopt(page.Changes, page.Revision, true)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision, r.synced = max(r.revision, page.Revision), true
+}
+
+// Consistent reports whether the state is complete and its configuration is at least as new as Revision, so that
+// another process can adopt both.
+func (r *Replica) Consistent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.synced && !r.configurationDue && !r.readingDue
+}
+
+// StoreDown reports whether the store is unavailable to this process or was so recently.
+func (r *Replica) StoreDown() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.recentOutage()
+}
+
 // Revision returns the revision up to which changes have been received.
 func (r *Replica) Revision() uint64 {
 	r.mu.Lock()
@@ -158,17 +203,34 @@
 	}
 }
 
+// CatchUp requests the changes since Revision as the next call, because they did not arrive from another process.
+func (r *Replica) CatchUp() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.catchUpDue = true
+}
+
 // step makes one call or one full read and returns the delay before the next step.
 func (r *Replica) step(ctx context.Context) time.Duration {
 	r.mu.Lock()
-	synced, configurationDue := r.synced, r.configurationDue
-	r.configurationDue = false
+	synced, configurationDue, catchUpDue := r.synced, r.configurationDue, r.catchUpDue
+	r.configurationDue, r.readingDue, r.catchUpDue = false, configurationDue, false
 	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.readingDue = false
+	}()
 	switch {
 	case !synced:
 		return r.readAll(ctx)
 	case configurationDue:
+		if catchUpDue {
+			r.CatchUp()
+		}
 		return r.readConfiguration(ctx)
+	case catchUpDue:
+		return r.catchUp(ctx)
 	case r.ShouldRead != nil && !r.ShouldRead():
 		return roleCheckInterval
 	}
@@ -176,6 +238,15 @@
 }
 
 func (r *Replica) readConfiguration(ctx context.Context) time.Duration {
+	if r.ReadPeerConfiguration != nil {
+		page, err := r.ReadPeerConfiguration(ctx)
+		if err == nil {
+			r.Counters.Add("peer-configuration-reads", 1)
+			r.Adopt(page.Changes, r.Revision(), false)
+			return 0
+		}
+		r.Counters.Add("peer-retry-configuration", 1)
+	}
 	r.Counters.Add("store-reads", 1)
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -276,27 +347,43 @@
 	}
 }
 
+// catchUp reads the changes since the current revision. A call that fails is repeated.
+func (r *Replica) catchUp(ctx context.Context) time.Duration {
+	delay, err := r.readChanges(ctx, catchUpWait)
+	if err != nil {
+		r.CatchUp()
+	}
+	return delay
+}
+
 func (r *Replica) watch(ctx context.Context) time.Duration {
+	delay, _ := r.readChanges(ctx, r.WatchTimeout) // The next step repeats a call that failed.
+	return delay
+}
+
+// readChanges waits up to the given time for changes since the current revision and applies them. It returns the delay
+// before the next step.
+func (r *Replica) readChanges(ctx context.Context, wait time.Duration) (time.Duration, error) {
 	r.Counters.Add("store-watches", 1)
-	call, cancel := context.WithTimeout(ctx, r.WatchTimeout+watchMargin)
+	call, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
 	since := r.Revision()
-	page, err := r.Watch(call, since, r.WatchTimeout)
+	page, err := r.Watch(call, since, wait)
 	if errors.Is(err, ErrCompacted) {
 		r.Counters.Add("store-retry-forgotten", 1)
 		r.Resync(false)
-		return 0
+		return 0, nil
 	}
 	if err != nil {
-		return r.recordFailure(err)
+		return r.recordFailure(err), err
 	}
 	r.recordSuccess()
 	r.Apply(page.Changes, since, max(since, page.Revision), r.recentOutage())
 	r.Advance(page.Revision)
 	if len(page.Changes) == 0 {
-		return 0
+		return 0, nil
 	}
-	return r.BatchDelay
+	return r.BatchDelay, nil
 }
 
 // adoptPeer adopts the snapshot of another process while the store does not reply. That process may not yet have read a
@@ -338,7 +425,9 @@
 	}
 	r.Counters.Add("store-retry-"+reason, 1)
 	if !r.storeDown {
+		r.mu.Lock()
 		r.storeDown, r.hadOutage, r.outageStart = true, true, r.Now()
+		r.mu.Unlock()
 		r.Lost(err)
 	}
 	r.failures++
@@ -351,7 +440,9 @@
 	if !r.storeDown {
 		return
 	}
+	r.mu.Lock()
 	r.storeDown, r.outageEnd = false, r.Now()
+	r.mu.Unlock()
 	r.Regained(r.outageEnd - r.outageStart)
 }
 
