Read a small store at once instead of waiting for contacts

Change: without a reply of a contact after 15 ms the process checks, with a stale read, whether the servers fit into one page, and then reads the store.

--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -35,6 +35,14 @@
 // maxSources is the maximum number of entry VMs that are queried for a snapshot or a token at a time.
 const maxSources = 3
 
+const (
+	// probeDelay is how long a process that starts waits for a reply of its contacts before it checks whether the store
+	// is small; contacts that run reply within milliseconds.
+	probeDelay = 15 * time.Millisecond
+	// probeTimeout bounds the check.
+	probeTimeout = 60 * time.Millisecond
+)
+
 // crossZoneRounds is the number of ping rounds of which one goes to another availability zone. Traffic between zones is
 // charged for, and a few members of other zones suffice as contacts, because announcements stay in the zone.
 const crossZoneRounds = 5
@@ -226,11 +234,18 @@
 }
 
 // bootstrap returns the state of another entry VM when this process starts, or an error if the store has to be read.
-func (d *dsrDaemon) bootstrap(ctx context.Context) (replica.Page, error) {
+// isSmall reports whether the store can be read in one call.
+func (d *dsrDaemon) bootstrap(
+	ctx context.Context, isSmall func(context.Context) (bool, error),
+) (replica.Page, error) {
+	probe := time.After(probeDelay)
 	for {
 		var a bootstrap.Action
 		select {
 		case a = <-d.peers.actions:
+		case <-probe:
+			d.probeStore(ctx, isSmall)
+			continue
 		case <-ctx.Done():
 			return replica.Page{}, errors.Trace(ctx.Err())
 		}
@@ -254,6 +269,24 @@
 	}
 }
 
+// probeStore makes the agent read the store if it is small.
+func (d *dsrDaemon) probeStore(ctx context.Context, isSmall func(context.Context) (bool, error)) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	d.counters.Add("store-probes", 1)
+	small, err := isSmall(ctx)
+	if err != nil {
+		d.counters.Add("store-probes-failed", 1)
+		d.log.Info("store-probe-failed", zap.Error(err))
+		return
+	}
+	if small {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.peers.bootstrap.ReadSmall()
+	}
+}
+
 // sources returns up to maxSources entry VMs in random order: at most one of each availability zone, the own zone
 // first. A new process without members uses its contacts.
 func (d *dsrDaemon) sources() []netip.AddrPort {
--- a/cmd/masticspard/dsr_store.go
+++ b/cmd/masticspard/dsr_store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,7 +33,8 @@
 		Counters:     d.counters,
 	}
 	if d.peers != nil {
-		c.Bootstrap, c.ReadPeerConfiguration = d.bootstrap, d.fetchConfiguration
+		c.ReadPeerConfiguration = d.fetchConfiguration
+		c.Bootstrap = func(ctx context.Context) (replica.Page, error) { return d.bootstrap(ctx, client.IsSmall) }
 	}
 	r, stop := replica.New(c)
 	d.replica = r
--- a/internal/bootstrap/agent.go
+++ b/internal/bootstrap/agent.go
@@ -33,6 +33,7 @@
 	ReasonNoContact  = "no-contact"    // the settings name no other entry VM, or none replied in time
 	ReasonSelected   = "selected"      // a contact selected this entry VM to read the store for its zone
 	ReasonNoSource   = "no-source"     // no other entry VM had the state in time
+	ReasonSmall      = "small"         // the store is read in one call, which takes less time than a referral
 	ReasonFetchError = "source-failed" // the state could not be fetched
 )
 
@@ -128,6 +129,13 @@
 	}
 }
 
+// ReadSmall requests a read of the store, because it is small, unless a referral arrived before.
+func (a *Agent) ReadSmall() {
+	if a.phase == phaseWaiting {
+		a.decide(Action{Read: true, Reason: ReasonSmall})
+	}
+}
+
 // Handle processes a message of another entry VM.
 func (a *Agent) Handle(now time.Duration, m *Message) {
 	if m.Reply {
--- a/internal/bootstrap/agent_test.go
+++ b/internal/bootstrap/agent_test.go
@@ -316,6 +316,26 @@
 	is.Equal(actions[1], Action{Read: true, Reason: ReasonFetchError})
 }
 
+// Guards against a second action after a referral when the store turns out to be small.
+func TestSmallStoreIsReadUnlessReferred(t *testing.T) {
+	is := is.New(t)
+	for _, referred := range []bool{false, true} {
+		var actions []Action
+		a := Agent{
+			Address: address(0, 0), AvailabilityZone: "zone-0", Contacts: []netip.AddrPort{address(0, 1)},
+			Members: func(string) []Source { return nil }, Send: func(netip.AddrPort, *Message) {},
+			Decide: func(a Action) { actions = append(actions, a) },
+		}
+		a.Start(0)
+		if referred {
+			a.Handle(0, &Message{From: address(0, 1), Reply: true, Sources: []netip.AddrPort{address(0, 2)}})
+		}
+		a.ReadSmall()
+		is.Equal(len(actions), 1)
+		is.Equal(actions[0].Read, !referred)
+	}
+}
+
 // Guards against unbounded records of a contact that receives queries with changing senders and zones.
 func TestRecordsAreBounded(t *testing.T) {
 	a := Agent{Members: func(string) []Source { return nil }, Send: func(netip.AddrPort, *Message) {}}
--- a/internal/bootstrap/doc.go
+++ b/internal/bootstrap/doc.go
@@ -7,6 +7,8 @@
 // sources grows with each transfer. The largest VMs get it first, and a source has only as many transfers at a time as
 // its size allows.
 //
+// A store whose servers fit into one page is read at once unless a contact replies first.
+//
 // Any entry VM can be a contact. It keeps its records in memory only and needs no state of the store itself. A process
 // reads the store without a referral if no contact replies, or if its referral fails or takes too long, so a contact
 // that is down or misled delays a start by a bounded time.
