Open a flow whose caller uses its port again

Cause: a SYN of a flow that is open here counted as a late retransmission, whatever its sequence number. A caller that uses a port again within 20 s was ignored until its timeout. Change: a SYN with another sequence number than the first one starts a new flow. TestPortIsUsedAgain fails without it; it also shows that late packets of the earlier flow reach only the server of that flow.

--- a/internal/conntrack/table.go
+++ b/internal/conntrack/table.go
@@ -61,7 +61,9 @@
 	seenAt       time.Duration // when the last packet arrived
 	requestedAt  time.Duration // when the last new data of the request arrived
 	dataAt       time.Duration // when data was last sent or retransmitted
-	nextSequence uint32        // sequence number after the last byte of data
+	synSequence  uint32        // sequence number of the SYN; valid if synSeen is set
+	synSeen      bool
+	nextSequence uint32 // sequence number after the last byte of data
 	acknowledged uint32
 	outstanding  bool
 	closed       bool
@@ -77,6 +79,10 @@
 	flows map[Key]*Flow
 }
 
+// Precedes reports whether the flow ended before the caller sent the given SYN, which starts another flow from the same
+// port. Retransmissions of a SYN have its sequence number.
+func (f *Flow) Precedes(syn *Packet) bool { return f.synSeen && f.synSequence != syn.Sequence }
+
 // Len returns the number of flows.
 func (t *Table) Len() int { return len(t.flows) }
 
@@ -86,13 +92,14 @@
 // Open records that the SYN of a flow was forwarded to the server with token host. If the SYN went to another server
 // before, that server is reported as Unanswered and added to Tried. Open returns nil if the flow is new and the table
 // is full.
-func (t *Table) Open(now time.Duration, k Key, host uint32) *Flow {
-	f := t.flows[k]
+func (t *Table) Open(now time.Duration, syn *Packet, host uint32) *Flow {
+	f := t.flows[syn.Key]
 	switch {
 	case f == nil:
-		if f = t.add(k); f == nil {
+		if f = t.add(syn.Key); f == nil {
 			return nil
 		}
+		f.synSequence, f.synSeen = syn.Sequence, true
 	case f.Host == host:
 		f.seenAt, f.SYNSent = now, now
 		return f
--- a/internal/conntrack/table_test.go
+++ b/internal/conntrack/table_test.go
@@ -41,7 +41,7 @@
 func TestResponseTimeIsMeasured(t *testing.T) {
 	is := is.New(t)
 	r := newRecorder()
-	r.Open(0, key, 1)
+	r.Open(0, &Packet{Key: key, SYN: true}, 1)
 	r.HandlePacket(2*ms, packet(100, 500, 0), 1)
 	r.HandlePacket(3*ms, packet(100, 500, 200), 1)
 	r.HandlePacket(4*ms, packet(300, 500, 50), 1) // Remainder of the request.
@@ -82,7 +82,7 @@
 func TestSYNWithoutFurtherPacketsIsRefused(t *testing.T) {
 	is := is.New(t)
 	r := newRecorder()
-	r.Open(0, key, 1)
+	r.Open(0, &Packet{Key: key, SYN: true}, 1)
 	r.Sweep(200 * ms)
 	is.Equal(r.kinds(), []flowevent.Kind{flowevent.Opened})
 	r.Sweep(400 * ms)
@@ -95,8 +95,8 @@
 func TestRetransmittedSYNMeansUnanswered(t *testing.T) {
 	is := is.New(t)
 	r := newRecorder()
-	r.Open(0, key, 1)
-	r.Open(200*ms, key, 2)
+	r.Open(0, &Packet{Key: key, SYN: true}, 1)
+	r.Open(200*ms, &Packet{Key: key, SYN: true}, 2)
 	is.Equal(r.events[1], flowevent.Event{Kind: flowevent.Unanswered, Host: 1, Elapsed: 200 * ms})
 	r.kinds()
 	r.Sweep(1800 * ms)
@@ -121,10 +121,10 @@
 	is := is.New(t)
 	r := newRecorder()
 	r.Capacity = 1
-	is.True(r.Open(0, key, 1) != nil)
+	is.True(r.Open(0, &Packet{Key: key, SYN: true}, 1) != nil)
 	other := key
 	other.Caller = netip.MustParseAddrPort("100.64.0.2:4000")
-	is.Equal(r.Open(0, other, 1), nil)
+	is.Equal(r.Open(0, &Packet{Key: other, SYN: true}, 1), nil)
 	p := packet(1, 1, 10)
 	p.Key = other
 	is.True(!r.HandlePacket(0, p, 1))
@@ -143,7 +143,7 @@
 		k.Caller = netip.AddrPortFrom(key.Caller.Addr(), uint16(i))
 		now += 10 * ms
 		if i%3 > 0 {
-			l.Open(now, k, uint32(i%4))
+			l.Open(now, &Packet{Key: k, SYN: true}, uint32(i%4))
 		}
 		for j := range i % 5 {
 			p := packet(uint32(100*j), uint32(500*(j/2)), 100)
--- a/internal/dsr/engine.go
+++ b/internal/dsr/engine.go
@@ -123,6 +123,10 @@
 	hash := flowHash(p.Key)
 	tried := e.unansweredHosts(now, p.Caller.Addr())
 	f := e.Flows.Get(p.Key)
+	if f != nil && f.Precedes(p) {
+		e.Flows.Forget(now, p.Key)
+		f = nil
+	}
 	if f != nil {
 		if f.Open {
 			return Verdict{Reason: ReasonLateSYN}
@@ -139,7 +143,7 @@
 	if l == nil {
 		return Verdict{Action: Reset, Reason: reason}
 	}
-	e.Flows.Open(now, p.Key, l.Token)
+	e.Flows.Open(now, p, l.Token)
 	e.recordAttempt(now, p, l.Token)
 	return Verdict{Action: Forward, Host: l, Retried: f != nil}
 }
--- a/internal/dsr/engine_test.go
+++ b/internal/dsr/engine_test.go
@@ -200,6 +200,66 @@
 	is.Equal(c.syn(), Verdict{Reason: ReasonLateSYN})
 }
 
+// Guards against a caller that uses a port again, for example after its own restart, and whose SYNs are all taken for
+// late retransmissions of the earlier flow; and against its packets reaching the server of that flow. Late packets of
+// the earlier flow carry its token and still reach its own server, so neither server gets data of the other flow.
+func TestPortIsUsedAgain(t *testing.T) {
+	for _, closed := range []bool{false, true} {
+		is := is.New(t)
+		e := newTestEngine(t, 8)
+		c := e.caller(1)
+		c.open()
+		c.request(10 * time.Millisecond)
+		if closed {
+			e.HandlePacket(e.now, &conntrack.Packet{Key: c.Key, Token: c.token, FIN: true, Sequence: c.sequence})
+		}
+		e.advance(100 * time.Millisecond)
+		earlier := c.token
+		syn := conntrack.Packet{Key: c.Key, SYN: true, Sequence: 1 << 30}
+		v := e.HandlePacket(e.now, &syn)
+		is.Equal(v.Action, Forward)
+		later := *c
+		later.token, later.sequence = v.Host.Token, 1<<30+1
+		is.Equal(later.send(100).Host.Token, later.token)
+		is.Equal(c.retransmit(100).Host.Token, earlier)
+		is.Equal(later.send(100).Host.Token, later.token)
+		is.Equal(later.send(0).Action, Forward)
+		is.Equal(e.HandlePacket(e.now, &syn).Reason, ReasonLateSYN) // A late retransmission of the second SYN.
+	}
+}
+
+// Guards against a panic in the decision about a packet, whatever its fields are and in whatever order packets and
+// changes of the registry arrive.
+func FuzzHandlePacket(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		e := newTestEngine(t, 3)
+		tokens := []uint32{0, 1}
+		for _, h := range e.Registry.Hosts("standdesk") {
+			tokens = append(tokens, h.Token)
+		}
+		for ; len(b) >= 6; b = b[6:] {
+			p := conntrack.Packet{
+				Key: e.caller(b[0] % 4).Key, Token: tokens[int(b[1])%len(tokens)], Sequence: uint32(b[2]) << 24,
+				Acknowledged: uint32(b[3]) << 24, Length: int(b[4]),
+				SYN: b[5]&1 != 0, ACK: b[5]&2 != 0, FIN: b[5]&4 != 0, RST: b[5]&8 != 0,
+			}
+			p.Caller = netip.AddrPortFrom(p.Caller.Addr(), uint16(b[0]>>2))
+			if v := e.HandlePacket(e.now, &p); v.Action == Forward && v.Host == nil {
+				t.Fatalf("packet %+v is forwarded to no server", p)
+			}
+			switch b[5] >> 4 {
+			case 1:
+				e.removeHost(int(b[0])%3, b[1]&1 != 0)
+			case 2:
+				e.listHost(int(b[0])%3, "wa-perth", b[1]&1 != 0)
+			case 3:
+				e.advance(time.Duration(b[0]) * 20 * time.Millisecond)
+			}
+		}
+	})
+}
+
 // Guards against counting a flow at the wrong server, when the SYN went to one server, its retransmission to another,
 // and the first one responds after all. Packets follow the token that the caller returns.
 func TestFirstServerRespondsAfterRetransmission(t *testing.T) {
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -96,6 +99,33 @@
 	is.True(err != nil)
 }
 
+// Guards against a transfer that breaks off and is taken for a complete state, at each byte at which it can break off.
+func TestBrokenOffTransferIsRefused(t *testing.T) {
+	is := is.New(t)
+	var c cache
+	whole, err := c.compress(cacheKey{}, sample())
+	is.NoErr(err)
+	for _, announced := range []bool{true, false} { // With and without the length of the whole in the header.
+		n := 0
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Encoding", "gzip")
+			if announced {
+				w.Header().Set("Content-Length", strconv.Itoa(len(whole)))
+			}
+			_, _ = w.Write(whole[:n])
+		}))
+		a := netip.MustParseAddrPort(server.Listener.Addr().String())
+		for ; n < len(whole); n++ {
+			if _, err := Fetch(context.Background(), a, 0); err == nil {
+				t.Errorf("Fetch accepted %d of %d bytes, want an error", n, len(whole))
+			}
+		}
+		_, err = Fetch(context.Background(), a, 0)
+		is.NoErr(err)
+		server.Close()
+	}
+}
+
 // Guards against an incomplete snapshot that would crash the receiver or leave it without routes.
 func TestDecodeRefusesIncompleteSnapshot(t *testing.T) {
 	for name, change := range map[string]func(*Snapshot){
