Contain a panic in one packet, message or change of the store

An unexpected error in the handling of one input ended the process and cut the flows that pass it. It is now counted (panics-contained) and logged with the first bytes of the input and the stack, and the next input is handled. TestDSRContainsPanics ends the test process without the change.

--- a/cmd/masticspard/dsr_packets.go
+++ b/cmd/masticspard/dsr_packets.go
@@ -18,7 +18,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for i := range batch {
-		d.handlePacket(now, now, batch[i].Bytes)
+		d.handleContained(now, now, batch[i].Bytes)
 	}
 	d.socket.Flush()
 }
@@ -75,7 +75,7 @@
 // retryHeld handles the held packets again, after the registry has changed.
 func (d *dsrDaemon) retryHeld(now time.Duration) {
 	for _, h := range d.held.Take() {
-		d.handlePacket(now, h.Arrived, h.Bytes)
+		d.handleContained(now, h.Arrived, h.Bytes)
 	}
 	d.socket.Flush()
 }
--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -332,6 +332,7 @@
 }
 
 func (d *dsrDaemon) handlePeerDatagram(b []byte) error {
+	defer d.contain("message", b)
 	if len(b) == 0 {
 		return errors.New("empty datagram")
 	}
--- a/cmd/masticspard/dsr_store.go
+++ b/cmd/masticspard/dsr_store.go
@@ -128,7 +128,10 @@
 	r := &d.engine.Registry
 	before := r.Version()
 	d.lastUpdate = d.timer.Now()
-	applyChanges(d.lastUpdate)
+	func() {
+		defer d.contain("store-update", nil)
+		applyChanges(d.lastUpdate)
+	}()
 	if r.Version() != before {
 		d.counters.Add("configurations-accepted", 1)
 		d.log.Info("configuration-in-force", zap.Uint64("version", r.Version()), zap.Uint64("before", before))
--- a/cmd/masticspard/dsr_test.go
+++ b/cmd/masticspard/dsr_test.go
@@ -21,6 +21,8 @@
 	"github.com/masticspar/masticspar/internal/document"
 	"github.com/masticspar/masticspar/internal/dsr"
 	dsrsettings "github.com/masticspar/masticspar/internal/dsr/settings"
+	"github.com/masticspar/masticspar/internal/flowevent"
+	"github.com/masticspar/masticspar/internal/member"
 	"github.com/masticspar/masticspar/internal/registry"
 	standin "github.com/masticspar/masticspar/platform/standin/store"
 	"github.com/masticspar/masticspar/platform/standin/wire"
@@ -223,6 +225,60 @@
 	is.Equal(p.Token, token)
 }
 
+// Guards against a process that ends, with all its flows, because of one packet, message or change that causes a panic.
+func TestDSRContainsPanics(t *testing.T) {
+	is := is.New(t)
+	s := newDSRSite(t, "i-1")
+	set := s.settings("entry-1")
+	d, logs := s.start(set)
+	s.waitFor("ready", isReady(set))
+	contained := d.counters.Counter("panics-contained")
+
+	d.mu.Lock()
+	observe := d.engine.Flows.Observe
+	d.engine.Flows.Observe = func(time.Duration, flowevent.Event) { panic("packet") }
+	d.mu.Unlock()
+	s.send(set.DataAddress, 4000, conntrack.Packet{SYN: true})
+	s.waitFor("panic of a packet", func() bool { return contained.Count() == 1 })
+	d.mu.Lock()
+	d.engine.Flows.Observe = observe
+	d.mu.Unlock()
+	s.send(set.DataAddress, 4001, conntrack.Packet{SYN: true})
+	p, _ := s.packet(s.receive(s.hosts["i-1"], dsrTimeout))
+	is.True(p.SYN)
+
+	d.mu.Lock()
+	changed := d.engine.Registry.Changed
+	d.engine.Registry.Changed = func(time.Duration, *registry.Lifetime, registry.State) { panic("change") }
+	d.mu.Unlock()
+	s.putHost("i-1", true)
+	s.waitFor("panic of a change", func() bool { return contained.Count() == 2 })
+	d.mu.Lock()
+	d.engine.Registry.Changed = changed
+	d.mu.Unlock()
+	s.hosts["i-2"] = s.listenUDP("127.0.0.1:0")
+	s.putHost("i-2", false)
+	s.waitFor("SYN at the other server", func() bool {
+		s.send(set.DataAddress, 4002, conntrack.Packet{SYN: true})
+		return s.receive(s.hosts["i-2"], 50*time.Millisecond) != nil
+	})
+
+	d.mu.Lock()
+	d.peers.list.Changed = func(member.Member) { panic("message") }
+	d.mu.Unlock()
+	b, err := member.Encode(member.Message{Kind: member.Ping, From: member.Member{
+		Name: "entry-9", Zone: "wa-perth", Region: "wa", Size: 1, Incarnation: 1, Control: netip.MustParseAddrPort("127.0.0.9:1"),
+		Data: netip.MustParseAddrPort("127.0.0.9:2"),
+	}})
+	must(t, err)
+	_, err = s.caller.WriteToUDPAddrPort(append([]byte{kindMembership}, b...), set.PeerAddress)
+	must(t, err)
+	s.waitFor("panic of a message", func() bool { return contained.Count() == 3 })
+	s.send(set.DataAddress, 4003, conntrack.Packet{SYN: true})
+	s.receive(s.hosts["i-2"], dsrTimeout)
+	is.Equal(logs.FilterMessage("panic-contained").Len(), 3)
+}
+
 // Guards against a daemon that starts beside another one and reads the store all the same, and against one that starts
 // with an outdated state: the store is read if the other daemon has not received anything for too long.
 func TestDSRStartsWithStateOfAnotherEntryVM(t *testing.T) {
