--- a/internal/announce/group_test.go
+++ b/internal/announce/group_test.go
@@ -94,7 +94,7 @@
 	return nil
 }
 
-func (g *vm) publish(now time.Duration, revision uint64, names ...string) {
+func (g *vm) publish(revision uint64, names ...string) {
 	var changes []registry.Change
 	for i, n := range names {
 		changes = append(changes, registry.Change{
@@ -120,7 +120,7 @@
 	is.True(!z.nonReader().ShouldRead(z.now + announcementTimeout - 1))
 	is.True(z.nonReader().ShouldRead(z.now + announcementTimeout)) // No announcement was received yet.
 	for _, g := range z.readers() {
-		g.publish(z.now, 5)
+		g.publish(5)
 	}
 	z.advance(2 * time.Second)
 	is.True(!z.nonReader().ShouldRead(z.now))
@@ -145,7 +145,7 @@
 	is := is.New(t)
 	z := newZone(5)
 	for _, g := range z.readers() {
-		g.publish(z.now, 5)
+		g.publish(5)
 	}
 	z.advance(time.Second)
 	for _, g := range z.readers() {
@@ -162,7 +162,7 @@
 	is := is.New(t)
 	z := newZone(60)
 	for _, g := range z.readers() {
-		g.publish(z.now, 5)
+		g.publish(5)
 	}
 	z.advance(200 * time.Millisecond)
 	names := make([]string, 180)
@@ -170,7 +170,7 @@
 		names[i] = fmt.Sprint("i-", i)
 	}
 	reader := z.readers()[0]
-	reader.publish(z.now, reader.revision+uint64(len(names)), names...)
+	reader.publish(reader.revision+uint64(len(names)), names...)
 	most := 0
 	for range 30 {
 		before := z.sent
@@ -202,7 +202,7 @@
 	for i := range 3*maxChanges + 1 {
 		names = append(names, fmt.Sprintf("i-%020d", i))
 	}
-	g.publish(z.now, 50, names...)
+	g.publish(50, names...)
 	z.advance(200 * time.Millisecond)
 	is.Equal(len(nonReader.applied), 0)
 	nonReader.unreachable = false
@@ -217,7 +217,7 @@
 	z := newZone(5)
 	g, nonReader := z.readers()[0], z.nonReader()
 	g.revision = 40 // The other entry VM has revision 0.
-	g.publish(z.now, 41, "i-1")
+	g.publish(41, "i-1")
 	z.advance(gapTimeout + 2*period)
 	reads := 0
 	for _, a := range nonReader.actions {
@@ -235,7 +235,7 @@
 	z := newZone(5)
 	g, nonReader := z.readers()[0], z.nonReader()
 	g.version, nonReader.version = 7, 6
-	g.publish(z.now, 5)
+	g.publish(5)
 	z.advance(period)
 	is.True(nonReader.actions[0].NeedsConfiguration)
 }
