--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULES := $(shell go list -m -f '{{.Dir}}')
 PACKAGES := $(addsuffix /...,$(MODULES))
 
-.PHONY: build test bench demo measure model soak lint format
+.PHONY: build test bench demo measure model soak lint regression
 
 build:
 	@mkdir -p bin
@@ -47,3 +47,8 @@
 	@mkdir -p bin
 	@go build -o bin/ ./cmd/measure
 	@bin/measure
+
+# Standard days of the users' bench; KIT is the folder of their kit.
+KIT ?=
+regression:
+	@deploy/regression "$(KIT)"
