Reset a flow whose request alone stays unanswered on a prompt path

Change: such a flow is lost if its own request was unanswered for 1 s (or three times the target latency) and retransmitted twice here, the server answered nothing else, and three other servers answered requests that arrived later within 0.3 s each, while no response of the last 3 s was late or needed a retransmission.

--- a/internal/conntrack/table.go
+++ b/internal/conntrack/table.go
@@ -65,6 +65,7 @@
 	synSeen      bool
 	nextSequence uint32 // sequence number after the last byte of data
 	acknowledged uint32
+	repeats      int // retransmissions of the outstanding request
 	outstanding  bool
 	closed       bool
 }
@@ -83,6 +84,12 @@
 // port. Retransmissions of a SYN have its sequence number.
 func (f *Flow) Precedes(syn *Packet) bool { return f.synSeen && f.synSequence != syn.Sequence }
 
+// Unanswered returns when the request arrived that is outstanding, and how often it was retransmitted since. The last
+// result is false if none is outstanding.
+func (f *Flow) Unanswered() (since time.Duration, repeats int, ok bool) {
+	return f.requestedAt, f.repeats, f.outstanding
+}
+
 // Len returns the number of flows.
 func (t *Table) Len() int { return len(t.flows) }
 
@@ -158,11 +165,11 @@
 		if fresh { // The acknowledgement was sent with the next request, so the response time is unknown.
 			elapsed = 0
 		}
-		t.emit(now, flowevent.Answered, f.Host, elapsed)
+		t.emitEvent(now, flowevent.Event{Kind: flowevent.Answered, Host: f.Host, Elapsed: elapsed, Repeats: f.repeats})
 	}
 	switch {
 	case fresh:
-		f.nextSequence, f.requestedAt, f.dataAt = end, now, now
+		f.nextSequence, f.requestedAt, f.dataAt, f.repeats = end, now, now, 0
 		if !f.outstanding && !f.closed {
 			f.outstanding = true
 			t.emit(now, flowevent.Requested, f.Host, 0)
@@ -170,6 +177,7 @@
 	case p.Length > 0 && now-f.dataAt >= retransmitDelay: // Earlier ones were reordered.
 		t.emit(now, flowevent.Repeated, f.Host, now-f.dataAt)
 		f.dataAt = now
+		f.repeats++
 		return true
 	}
 	return false
@@ -244,7 +252,11 @@
 }
 
 func (t *Table) emit(now time.Duration, kind flowevent.Kind, host uint32, elapsed time.Duration) {
+	t.emitEvent(now, flowevent.Event{Kind: kind, Host: host, Elapsed: elapsed})
+}
+
+func (t *Table) emitEvent(now time.Duration, e flowevent.Event) {
 	if t.Observe != nil {
-		t.Observe(now, flowevent.Event{Kind: kind, Host: host, Elapsed: elapsed})
+		t.Observe(now, e)
 	}
 }
--- a/internal/dsr/engine.go
+++ b/internal/dsr/engine.go
@@ -43,6 +43,7 @@
 	ReasonUnknownToken    = "unknown-token"
 	ReasonLateSYN         = "late-syn"
 	ReasonHostRemoved     = "host-removed"
+	ReasonHostSilent      = "host-silent"
 	ReasonHostReplaced    = "host-replaced"
 	ReasonResuming        = "waking" // SYN that arrives shortly after a pause of the process
 )
@@ -70,6 +71,7 @@
 	Flows conntrack.Table
 
 	attempts map[netip.Addr][]attempt // by caller address, oldest first
+	path     path
 }
 
 // Start connects Registry, Placement and Flows. It must be called once, after Registry.Changed is set.
@@ -85,7 +87,10 @@
 			changed(now, l, before)
 		}
 	}
-	e.Flows.Observe = func(now time.Duration, ev flowevent.Event) { e.Placement.Observe(now, ev) }
+	e.Flows.Observe = func(now time.Duration, ev flowevent.Event) {
+		e.path.observe(now, ev)
+		e.Placement.Observe(now, ev)
+	}
 }
 
 // HandlePacket returns the decision about a packet from a caller.
@@ -105,9 +110,11 @@
 		e.Flows.Forget(now, p.Key)
 		return Verdict{Action: Reset, Host: l, Reason: ReasonHostReplaced}
 	}
-	if retransmitted && e.flowLost(now, p, l) {
-		e.Flows.Forget(now, p.Key)
-		return Verdict{Action: Reset, Host: l, Reason: ReasonHostRemoved}
+	if retransmitted {
+		if reason := e.lossReason(now, p, l); reason != "" {
+			e.Flows.Forget(now, p.Key)
+			return Verdict{Action: Reset, Host: l, Reason: reason}
+		}
 	}
 	return Verdict{Action: Forward, Host: l}
 }
--- a/internal/flowevent/event.go
+++ b/internal/flowevent/event.go
@@ -34,6 +34,8 @@
 	// Elapsed is the time since the SYN or the request that the event ends, unless its kind defines another time; 0 if it
 	// is unknown or does not apply.
 	Elapsed time.Duration
+	// Repeats is the number of retransmissions of the request that an Answered event of package conntrack ends.
+	Repeats int
 	// Reset reports whether Abandoned was caused by a reset from the host. Package conntrack never sets it.
 	Reset bool
 }
