--- a/cmd/masticspard/dsr_store.go
+++ b/cmd/masticspard/dsr_store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,7 +33,8 @@
 		Counters:     d.counters,
 	}
 	if d.peers != nil {
-		c.Bootstrap, c.ReadPeerConfiguration = d.bootstrap, d.fetchConfiguration
+		c.ReadPeerConfiguration = d.fetchConfiguration
+		c.Bootstrap = func(ctx context.Context) (replica.Page, error) { return d.bootstrap(ctx, client.IsSmall) }
 	}
 	r, stop := replica.New(c)
 	d.replica = r
@@ -126,7 +128,10 @@
 	r := &d.engine.Registry
 	before := r.Version()
 	d.lastUpdate = d.timer.Now()
-	applyChanges(d.lastUpdate)
+	func() {
+		defer d.contain("store-update", nil)
+		applyChanges(d.lastUpdate)
+	}()
 	if r.Version() != before {
 		d.counters.Add("configurations-accepted", 1)
 		d.log.Info("configuration-in-force", zap.Uint64("version", r.Version()), zap.Uint64("before", before))
