--- a/cmd/masticsparctl/explain.go
+++ b/cmd/masticsparctl/explain.go
@@ -19,33 +19,36 @@
 	text string
 }
 
-// explain prints the matching events of all given logs in chronological order.
+// explain prints the matching events of all given logs in chronological order. It keeps only these in memory, because
+// the logs of hundreds of entry VMs have millions of events.
 func (c *command) explain(a arguments, files []string) int {
 	from, to, err := a.timeRange()
 	if err != nil {
-		_, _ = fmt.Fprintln(c.stderr, err)
+		_, _ = fmt.Fprintln(c.stderr, "masticsparctl:", err)
 		return exitUsage
 	}
-	var lines []logLine
-	unreadable := 0
+	keep := func(l logLine) bool {
+		return (from.IsZero() || !l.at.Before(from)) && (to.IsZero() || !l.at.After(to)) && matches(l.text, a.match)
+	}
+	var shown []logLine
+	events, unreadable := 0, 0
 	for _, name := range files {
-		var n int
-		if lines, n, err = readLog(name, lines); err != nil {
-			_, _ = fmt.Fprintln(c.stderr, err)
+		err := readLog(name, func(l logLine) {
+			events++
+			if keep(l) {
+				shown = append(shown, l)
+			}
+		}, &unreadable)
+		if err != nil {
+			_, _ = fmt.Fprintln(c.stderr, "masticsparctl:", err)
 			return exitInvalid
 		}
-		unreadable += n
 	}
-	sort.SliceStable(lines, func(i, j int) bool { return lines[i].at.Before(lines[j].at) })
-	shown := 0
-	for _, l := range lines {
-		if (!from.IsZero() && l.at.Before(from)) || (!to.IsZero() && l.at.After(to)) || !matches(l.text, a.match) {
-			continue
-		}
+	sort.SliceStable(shown, func(i, j int) bool { return shown[i].at.Before(shown[j].at) })
+	for _, l := range shown {
 		_, _ = fmt.Fprintln(c.stdout, l.text)
-		shown++
 	}
-	_, _ = fmt.Fprintf(c.stderr, "%d of %d events shown, %d lines unreadable\n", shown, len(lines), unreadable)
+	_, _ = fmt.Fprintf(c.stderr, "%d of %d events shown, %d lines unreadable\n", len(shown), events, unreadable)
 	return exitOK
 }
 
@@ -65,19 +68,18 @@
 	return from, to, nil
 }
 
-// readLog appends the events of a file, or of standard input for "-", to lines. It also returns the number of lines
-// without an event.
-func readLog(name string, lines []logLine) ([]logLine, int, error) {
+// readLog calls handle with each event of a file, or of standard input for "-". It adds the number of lines without an
+// event to unreadable.
+func readLog(name string, handle func(logLine), unreadable *int) error {
 	var in io.Reader = os.Stdin
 	if name != "-" {
 		f, err := os.Open(name)
 		if err != nil {
-			return nil, 0, err
+			return err
 		}
 		defer func() { _ = f.Close() }()
 		in = f
 	}
-	unreadable := 0
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
@@ -85,18 +87,18 @@
 		// Text before the event, such as a prefix of a log collector, is skipped.
 		i := strings.Index(text, "ts=")
 		if i < 0 {
-			unreadable++
+			*unreadable++
 			continue
 		}
 		stamp, _, _ := strings.Cut(text[i+len("ts="):], " ")
 		at, err := time.Parse(time.RFC3339Nano, stamp)
 		if err != nil {
-			unreadable++
+			*unreadable++
 			continue
 		}
-		lines = append(lines, logLine{at: at, text: text[i:]})
+		handle(logLine{at: at, text: text[i:]})
 	}
-	return lines, unreadable, scanner.Err()
+	return scanner.Err()
 }
 
 // matches reports whether the line contains all comma-separated terms. A term such as host=i-1 matches only a whole
--- a/cmd/masticsparctl/explain_test.go
+++ b/cmd/masticsparctl/explain_test.go
@@ -34,3 +34,16 @@
 	out, _ = explain("--from", "2026-12-04T08:00:02.5Z", "--", first, second)
 	is.Equal(strings.Count(out, "\n"), 1)
 }
+
+// Guards against errors that cannot be told from the events, as other commands name the program in theirs.
+func TestExplainErrorsNameTheProgram(t *testing.T) {
+	is := is.New(t)
+	for want, arguments := range map[int][]string{
+		exitUsage:   {"explain", "--from", "yesterday", "--", "x.log"},
+		exitInvalid: {"explain", "--", filepath.Join(t.TempDir(), "missing.log")},
+	} {
+		var out, stderr strings.Builder
+		is.Equal(run(arguments, &out, &stderr), want)
+		is.True(strings.HasPrefix(stderr.String(), "masticsparctl: "))
+	}
+}
