Add slow daemons to the soak

A daemon that runs for a quarter of the time must keep all bounds and must not reset flows of live servers; unlike a paused one it does not count as disturbed.

--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -33,6 +33,8 @@
 	// stopTimeout is the time in which a daemon must exit after SIGTERM: the default stop timeout of the settings, plus
 	// the longest pause that can interrupt it.
 	stopTimeout = 6*time.Second + maxFaultTime
+	// slowRun and slowStop are how long a slow daemon runs and stands still in turn.
+	slowRun, slowStop = 20 * time.Millisecond, 60 * time.Millisecond
 	// storeRecoveryTime is the time from the end of a proxy fault until the disturbance of its daemon ends. It is longer
 	// than the watch timeout, so the daemon has detected a lost reply by then.
 	storeRecoveryTime = 4 * time.Second
@@ -60,6 +62,7 @@
 		{"server-crashes", s.crashServer},
 		{"server-cut", s.partitionServer},
 		{"route", s.changeRoute},
+		{"slow", s.slowDaemon},
 	}
 }
 
@@ -176,6 +179,30 @@
 	}
 }
 
+// slowDaemon lets a daemon run for a quarter of the time only. The daemon does not count as disturbed: it must keep all
+// bounds, and must not take servers that it hears late for dead.
+func (s *site) slowDaemon(random *rand.Rand, length time.Duration) func() {
+	d := s.randomDaemon(random)
+	done, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			d.signal(syscall.SIGSTOP)
+			time.Sleep(slowStop)
+			d.signal(syscall.SIGCONT)
+			select {
+			case <-done:
+				return
+			case <-time.After(slowRun):
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		<-stopped
+	}
+}
+
 // reloadDaemon sends SIGHUP to a daemon, which reloads its settings.
 func (s *site) reloadDaemon(random *rand.Rand, _ time.Duration) func() {
 	s.randomDaemon(random).signal(syscall.SIGHUP)
