--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -287,7 +287,15 @@
 	return d.exited
 }
 
-func (d *daemon) kill() { <-d.signal(os.Kill) }
+// kill kills the process of the daemon, if it has been started.
+func (d *daemon) kill() {
+	d.mu.Lock()
+	started := d.process != nil
+	d.mu.Unlock()
+	if started {
+		<-d.signal(os.Kill)
+	}
+}
 
 // running reports whether the process of the daemon runs.
 func (d *daemon) running() bool {
