Let followers of the announcements call an unavailable store less often

Cause: without announcements each of 295 entry VMs calls the store, and during an outage repeats the call every 0.6 to 1.2 s, although the readers announce the changes when it returns. The configuration is served without building the list of servers.

--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -186,7 +186,7 @@
 		defer d.mu.Unlock()
 		p.list.Resume(now)
 	}))
-	stopSnapshots, err := snapshot.Serve(s.PeerAddress, d.snapshot)
+	stopSnapshots, err := snapshot.Serve(s.PeerAddress, snapshot.Source{Snapshot: d.snapshot, Configuration: d.configuration})
 	if err != nil {
 		undo.Run()
 		return nil, err
@@ -210,6 +210,13 @@
 	return &snapshot.Snapshot{Revision: d.replica.Revision(), Servers: r.Changes(), Configuration: r.Configuration()}
 }
 
+// configuration returns the active configuration.
+func (d *dsrDaemon) configuration() registry.Configuration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.engine.Registry.Configuration()
+}
+
 // fetchSnapshot fetches a snapshot from other entry VMs, one after the other, and returns the first that succeeds.
 func (d *dsrDaemon) fetchSnapshot(ctx context.Context) (replica.Page, error) {
 	err := errors.New("fetch snapshot: no other entry VM available")
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -181,7 +181,7 @@
 
 // slowDaemon lets a daemon run for a quarter of the time only. The daemon does not count as disturbed: it must keep all
 // bounds, and must not take servers that it hears late for dead.
-func (s *site) slowDaemon(random *rand.Rand, length time.Duration) func() {
+func (s *site) slowDaemon(random *rand.Rand, _ time.Duration) func() {
 	d := s.randomDaemon(random)
 	done, stopped := make(chan struct{}), make(chan struct{})
 	go func() {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -315,6 +315,30 @@
 	expectRevision(t, r, 8)
 }
 
+// Guards against hundreds of processes that call an unavailable store every second although the readers announce its
+// return, and against a process that waits as long while it has no state.
+func TestFollowersBackOffLonger(t *testing.T) {
+	is := is.New(t)
+	reader := false
+	r := &Replica{Config: Config{
+		FollowerBackoff: 3 * time.Second, IsReader: func() bool { return reader }, Lost: func(error) {},
+		Now: func() time.Duration { return 0 }, Counters: counter.New(),
+	}}
+	longest := func() time.Duration {
+		longest := time.Duration(0)
+		for range 40 {
+			longest = max(longest, r.recordFailure(ErrRefused))
+		}
+		return longest
+	}
+	is.True(longest() <= maxBackoff)
+	r.synced = true
+	d := longest()
+	is.True(d > maxBackoff && d <= 3*time.Second)
+	reader = true
+	is.True(longest() <= maxBackoff)
+}
+
 // Guards against a configuration that all processes of a large fleet read from the store although another one has it,
 // against one that is never read because that process fails, and against an outage of the store that seems to end with
 // the reply of another process.
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -81,9 +81,17 @@
 	return append(s.Servers, registry.Change{Configuration: &s.Configuration})
 }
 
-// Serve serves the snapshot to other entry VMs on address until the returned function is called. current returns nil
-// while there is no snapshot whose age is at most maxAge; a maxAge of 0 allows any age.
-func Serve(address netip.AddrPort, current func(maxAge time.Duration) *Snapshot) (func(), error) {
+// Source is the state that Serve serves.
+type Source struct {
+	// Snapshot returns the complete state, or nil while there is none whose age is at most maxAge; a maxAge of 0 allows
+	// any age.
+	Snapshot func(maxAge time.Duration) *Snapshot
+	// Configuration returns the active configuration; its version is 0 while there is none.
+	Configuration func() registry.Configuration
+}
+
+// Serve serves the state to other entry VMs on address until the returned function is called.
+func Serve(address netip.AddrPort, source Source) (func(), error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, errors.Annotatef(err, "listening for snapshot requests on %s", address)
@@ -96,7 +104,7 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		s := current(time.Duration(maxAge) * time.Millisecond)
+		s := source.Snapshot(time.Duration(maxAge) * time.Millisecond)
 		if s == nil {
 			http.Error(w, "no picture", http.StatusServiceUnavailable)
 			return
@@ -104,12 +112,12 @@
 		reply(w, &complete, cacheKey{s.Revision, s.Configuration.Version}, s)
 	})
 	mux.HandleFunc("GET "+configurationPath, func(w http.ResponseWriter, _ *http.Request) {
-		s := current(0)
-		if s == nil {
+		c := source.Configuration()
+		if c.Version == 0 {
 			http.Error(w, "no configuration", http.StatusServiceUnavailable)
 			return
 		}
-		reply(w, &configuration, cacheKey{version: s.Configuration.Version}, &s.Configuration)
+		reply(w, &configuration, cacheKey{version: c.Version}, &c)
 	})
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: timeout, WriteTimeout: timeout}
 	var tb tomb.Tomb
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -45,7 +45,7 @@
 	is := is.New(t)
 	a := freeAddress(t)
 	current := (*Snapshot)(nil)
-	stop, err := Serve(a, func(time.Duration) *Snapshot { return current })
+	stop, err := Serve(a, Source{Snapshot: func(time.Duration) *Snapshot { return current }})
 	is.NoErr(err)
 	defer stop()
 	_, err = Fetch(context.Background(), a, 0)
@@ -63,12 +63,12 @@
 	is := is.New(t)
 	a := freeAddress(t)
 	state, age := sample(), time.Minute
-	stop, err := Serve(a, func(maxAge time.Duration) *Snapshot {
+	stop, err := Serve(a, Source{Snapshot: func(maxAge time.Duration) *Snapshot {
 		if maxAge > 0 && age > maxAge {
 			return nil
 		}
 		return state
-	})
+	}})
 	is.NoErr(err)
 	defer stop()
 	_, err = Fetch(context.Background(), a, time.Minute-time.Millisecond)
@@ -89,7 +89,7 @@
 func TestFetchConfigurationRequiresVersion(t *testing.T) {
 	is := is.New(t)
 	a := freeAddress(t)
-	stop, err := Serve(a, func(time.Duration) *Snapshot { return sample() })
+	stop, err := Serve(a, Source{Configuration: func() registry.Configuration { return sample().Configuration }})
 	is.NoErr(err)
 	defer stop()
 	c, err := FetchConfiguration(context.Background(), a, 4)
