--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -87,8 +87,8 @@
 	Now func() time.Duration
 	// WatchTimeout is how long the store delays its reply to a watch while there is no change.
 	WatchTimeout time.Duration
-	// FollowerBackoff is the longest delay before a retry of a process that has the state and for which IsReader returns
-	// false, because readers announce the changes after an outage; 0 selects the same delay as for readers.
+	// FollowerBackoff is the delay before each retry of a process that has the state and for which IsReader returns false,
+	// because readers announce the changes after an outage; 0 selects the same delay as for readers.
 	FollowerBackoff time.Duration
 	// IsReader reports whether other processes rely on the calls of this one; nil means that they do.
 	IsReader func() bool
@@ -436,15 +436,11 @@
 		r.Lost(err)
 	}
 	r.failures++
-	delay := min(r.longestBackoff(), minBackoff<<min(r.failures-1, 8))
-	return delay/2 + rand.N(delay/2)
-}
-
-func (r *Replica) longestBackoff() time.Duration {
+	delay := min(maxBackoff, minBackoff<<min(r.failures-1, 8))
 	if r.FollowerBackoff > 0 && r.IsReader != nil && !r.IsReader() && r.isSynced() {
-		return max(r.FollowerBackoff, maxBackoff)
+		delay = max(r.FollowerBackoff, maxBackoff)
 	}
-	return maxBackoff
+	return delay/2 + rand.N(delay/2)
 }
 
 func (r *Replica) recordSuccess() {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -333,8 +333,10 @@
 	}
 	is.True(longest() <= maxBackoff)
 	r.synced = true
-	d := longest()
-	is.True(d > maxBackoff && d <= 3*time.Second)
+	r.failures = 0
+	first := r.recordFailure(ErrRefused)
+	is.True(first >= 1500*time.Millisecond && first <= 3*time.Second)
+	is.True(longest() <= 3*time.Second)
 	reader = true
 	is.True(longest() <= maxBackoff)
 }
