--- a/internal/bootstrap/agent.go
+++ b/internal/bootstrap/agent.go
@@ -103,7 +103,7 @@
 	switch {
 	case a.phase == phaseIdle || a.phase == phaseSynced:
 		return
-	case a.phase != phaseWaiting:
+	case a.phase != phaseWaiting: // It has a referral already.
 	case !a.replied && now >= a.readAt:
 		a.decide(Action{Read: true, Reason: ReasonNoContact})
 	case now-a.startedAt >= stateTimeout:
