--- a/internal/bootstrap/agent_test.go
+++ b/internal/bootstrap/agent_test.go
@@ -1,7 +1,6 @@
 package bootstrap
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -9,14 +8,15 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/masticspar/masticspar/internal/standin/schedule"
 )
 
 // fleet is a number of entry VMs that start within 0.3 s, in virtual time. Reads of the store share its link.
 type fleet struct {
 	t      *testing.T
 	now    time.Duration
-	queue  events
-	order  int
+	queue  schedule.Queue
 	random *rand.Rand
 	vms    []*vm
 	byAddr map[netip.AddrPort]*vm
@@ -38,30 +38,7 @@
 	transfers         int
 }
 
-type event struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type events []event
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
-func (f *fleet) after(d time.Duration, do func()) {
-	f.order++
-	heap.Push(&f.queue, event{f.now + d, f.order, do})
-}
+func (f *fleet) after(d time.Duration, do func()) { f.queue.At(f.now+d, do) }
 
 func address(zone, i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(zone + 1), 0, byte(i + 1)}), 7720)
@@ -172,10 +149,9 @@
 			f.after(100*time.Millisecond, tick)
 		})
 	}
-	for len(f.queue) > 0 && f.queue[0].at <= limit {
-		e := heap.Pop(&f.queue).(event)
-		f.now = e.at
-		e.do()
+	for do, due := f.queue.Next(limit); do != nil; do, due = f.queue.Next(limit) {
+		f.now = due
+		do()
 	}
 	longest := time.Duration(0)
 	for _, v := range f.vms {
--- a/internal/dsr/path_test.go
+++ b/internal/dsr/path_test.go
@@ -1,7 +1,6 @@
 package dsr
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/masticspar/masticspar/internal/conntrack"
+	"github.com/masticspar/masticspar/internal/standin/schedule"
 )
 
 // replay drives an engine with callers that retransmit after 0.2, 0.6, 1.4 and 3.0 s, in virtual time. Their packets
@@ -16,8 +16,7 @@
 type replay struct {
 	*testEngine
 	random      *rand.Rand
-	events      schedule
-	order       int
+	calls       schedule.Queue
 	queueDelay  func(now time.Duration) time.Duration // of the link to the entry VM
 	busyUntil   time.Duration                         // when the last packet leaves that queue
 	pausedUntil time.Duration                         // packets that arrive earlier are handled at this time
@@ -29,26 +28,6 @@
 	darkWaits   []time.Duration // from the request to the reset
 }
 
-type scheduled struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type schedule []scheduled
-
-func (s schedule) Len() int { return len(s) }
-func (s schedule) Less(i, j int) bool {
-	return s[i].at < s[j].at || s[i].at == s[j].at && s[i].order < s[j].order
-}
-func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
-func (s *schedule) Push(x any)   { *s = append(*s, x.(scheduled)) }
-func (s *schedule) Pop() any {
-	last := (*s)[len(*s)-1]
-	*s = (*s)[:len(*s)-1]
-	return last
-}
-
 func newReplay(t *testing.T, seed uint64, hosts int) *replay {
 	return &replay{
 		testEngine: newTestEngine(t, hosts), random: rand.New(rand.NewPCG(seed, seed)),
@@ -57,10 +36,7 @@
 	}
 }
 
-func (r *replay) after(d time.Duration, do func()) {
-	r.order++
-	heap.Push(&r.events, scheduled{r.now + d, r.order, do})
-}
+func (r *replay) after(d time.Duration, do func()) { r.calls.At(r.now+d, do) }
 
 func (r *replay) lost() bool { return r.random.Float64() < r.loss }
 
@@ -132,14 +108,14 @@
 		r.run(c)
 	}
 	nextTick := r.now
-	for end := r.now + d; len(r.events) > 0 && r.events[0].at < end; {
-		e := heap.Pop(&r.events).(scheduled)
-		for nextTick <= e.at {
+	end := r.now + d
+	for do, due := r.calls.Next(end); do != nil; do, due = r.calls.Next(end) {
+		for nextTick <= due {
 			r.Tick(nextTick)
 			nextTick += TickPeriod
 		}
-		r.now = e.at
-		e.do()
+		r.now = due
+		do()
 	}
 }
 
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -15,6 +14,7 @@
 	"github.com/masticspar/masticspar/internal/rules"
 	"github.com/masticspar/masticspar/internal/standin/backend"
 	"github.com/masticspar/masticspar/internal/standin/caller"
+	"github.com/masticspar/masticspar/internal/standin/schedule"
 )
 
 // Epoch is the wall-clock time at virtual time zero.
@@ -48,8 +48,7 @@
 	BrokenFlows []BrokenFlow
 
 	random         *rand.Rand
-	queue          events
-	sequence       uint64
+	queue          schedule.Queue
 	cut            map[[2]string]bool   // by the zones that a packet travels from and to
 	links          map[[2]string]*link  // by the names of the sending and the receiving entry VM
 	flows          map[packet.Key]*flow // by the key in the direction from the caller
@@ -88,41 +87,15 @@
 	StopWhenIdle bool
 }
 
-type event struct {
-	due      time.Duration
-	sequence uint64
-	call     func()
-}
-
-type events []event
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(q[i].due, q[j].due), cmp.Compare(q[i].sequence, q[j].sequence)) < 0
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*q = old[:len(old)-1]
-	return e
-}
-
 // After calls f when the virtual time has advanced by d.
-func (s *Site) After(d time.Duration, f func()) {
-	s.sequence++
-	heap.Push(&s.queue, event{s.Now + d, s.sequence, f})
-}
+func (s *Site) After(d time.Duration, f func()) { s.queue.At(s.Now+d, f) }
 
 // Run advances the virtual time by d.
 func (s *Site) Run(d time.Duration) {
 	end := s.Now + d
-	for len(s.queue) > 0 && s.queue[0].due <= end {
-		e := heap.Pop(&s.queue).(event)
-		s.Now = e.due
-		e.call()
+	for call, due := s.queue.Next(end); call != nil; call, due = s.queue.Next(end) {
+		s.Now = due
+		call()
 	}
 	s.Now = end
 }
--- a/internal/standin/site/site_test.go
+++ b/internal/standin/site/site_test.go
@@ -22,7 +22,7 @@
 }
 
 func trace(s *Site) string {
-	out := fmt.Sprint(s.sequence, s.Violations, s.BrokenFlows)
+	out := fmt.Sprint(s.queue.Added(), s.Violations, s.BrokenFlows)
 	for _, c := range s.Callers {
 		out += fmt.Sprintf("%+v", c.Report())
 	}
