--- a/cmd/masticsparctl/main.go
+++ b/cmd/masticsparctl/main.go
@@ -63,7 +63,7 @@
 		"Log files follow --; use - for standard input.\n"+
 			"Example: masticsparctl explain --match caller=100.64.0.7:4001 -- entry-1.log entry-2.log")
 	explain.String(&a.match, "m", "match",
-		"comma-separated terms that events must contain, such as host=i-1,reason=host-dead")
+		"comma-separated terms that events must contain, such as host=i-1,reason=host-silent")
 	explain.String(&a.from, "", "from", "start of the time range, in RFC 3339 format")
 	explain.String(&a.to, "", "to", "end of the time range, in RFC 3339 format")
 	for _, s := range []*flaggy.Subcommand{check, status, flow, drain} {
