--- a/cmd/masticspard/dsr_test.go
+++ b/cmd/masticspard/dsr_test.go
@@ -308,6 +308,26 @@
 	s.waitFor("consistent state", func() bool { return d1.snapshot(time.Minute) != nil })
 }
 
+// Guards against a stop that hangs, because the process still searches for its state: the store does not reply and no
+// contact runs.
+func TestDSRStopsWhileStarting(t *testing.T) {
+	s := newDSRSite(t, "i-1")
+	s.store.SetFaults(standin.Faults{NoReply: true})
+	set := s.settings("entry-1", netip.MustParseAddrPort("127.0.0.9:7720"))
+	_, stop, err := newDSRDaemon(set, zap.NewNop())
+	must(t, err)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stop()
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(dsrTimeout):
+		t.Fatal("stop did not end before the timeout")
+	}
+}
+
 // Guards against callers that wait for a server that stopped before a daemon started, when only another daemon has the
 // record of that server.
 func TestDSRQueriesPeersForUnknownTokens(t *testing.T) {
