Repeat a lost call to the store at once again

Ruled out: announcements (the version reaches VMs with readers by 9.5 s), the start (no process started before).

--- a/cmd/masticspard/dsr_store.go
+++ b/cmd/masticspard/dsr_store.go
@@ -28,12 +28,9 @@
 		Replace:      d.replace,
 		Apply:        d.apply,
 		ShouldRead:   d.shouldRead,
-		IsReader:     d.isReader,
-		// An outage must be over here within the settle time, even if no reader announces it.
-		FollowerBackoff: time.Duration(d.settings.SettleTime) / 2,
-		Lost:            d.storeLost,
-		Regained:        d.storeRegained,
-		Counters:        d.counters,
+		Lost:         d.storeLost,
+		Regained:     d.storeRegained,
+		Counters:     d.counters,
 	}
 	if d.peers != nil {
 		c.ReadPeerConfiguration = d.fetchConfiguration
@@ -58,13 +55,6 @@
 	return d.peers == nil || d.peers.group.ShouldRead(d.timer.Now())
 }
 
-// isReader reports whether other entry VMs rely on the calls of this one.
-func (d *dsrDaemon) isReader() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.peers == nil || d.peers.group.IsReader()
-}
-
 // storeLost logs the start of an outage of the store and reports it to the announcement group.
 func (d *dsrDaemon) storeLost(reason error) {
 	d.log.Warn("store-lost", zap.String("reason", reason.Error()))
--- a/internal/announce/group.go
+++ b/internal/announce/group.go
@@ -150,9 +150,6 @@
 	}
 }
 
-// IsReader reports whether this entry VM is a reader of its zone.
-func (g *Group) IsReader() bool { return g.reader }
-
 // ShouldRead reports whether this entry VM has to read the store. Shortly after its start it does not know the other
 // members of the zone yet, so it does not take itself for a reader.
 func (g *Group) ShouldRead(now time.Duration) bool {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -87,11 +87,6 @@
 	Now func() time.Duration
 	// WatchTimeout is how long the store delays its reply to a watch while there is no change.
 	WatchTimeout time.Duration
-	// FollowerBackoff is the delay before each retry of a process that has the state and for which IsReader returns false,
-	// because readers announce the changes after an outage; 0 selects the same delay as for readers.
-	FollowerBackoff time.Duration
-	// IsReader reports whether other processes rely on the calls of this one; nil means that they do.
-	IsReader func() bool
 	// BatchDelay is the delay after a watch that returned changes.
 	BatchDelay time.Duration
 	// Counters counts calls and retries by reason; nil counts nothing.
@@ -366,9 +361,6 @@
 	}
 	r.failures++
 	delay := min(maxBackoff, minBackoff<<min(r.failures-1, 8))
-	if r.FollowerBackoff > 0 && r.IsReader != nil && !r.IsReader() && r.isSynced() {
-		delay = max(r.FollowerBackoff, maxBackoff)
-	}
 	return delay/2 + rand.N(delay/2)
 }
 
