Require early reads in the replay of late contacts

TestFleetStartsWithLateContacts passed without the change that it guards (a fixed wait of 0.4 s for the contacts); it now also requires that a VM has the state before the contacts start, and fails then. A comment is reflowed.

--- a/internal/bootstrap/agent_test.go
+++ b/internal/bootstrap/agent_test.go
@@ -183,13 +183,23 @@
 // contacts to begin reading, and most of them must not read the store.
 func TestFleetStartsWithLateContacts(t *testing.T) {
 	f := newFleet(t, 5, 59)
+	const contactsStart = 300 * time.Millisecond
 	for _, c := range f.vms[0].Contacts {
-		f.byAddr[c].startAt = 300 * time.Millisecond
+		f.byAddr[c].startAt = contactsStart
 	}
 	longest := f.run(3 * time.Second)
 	if f.storeReads > 295/3 || longest > 600*time.Millisecond {
 		t.Fatalf("%d VMs read the store and the slowest took %v, want at most 98 and 600ms", f.storeReads, longest)
 	}
+	early := 0
+	for _, v := range f.vms {
+		if v.syncedAt < contactsStart {
+			early++
+		}
+	}
+	if early == 0 {
+		t.Fatalf("no VM has the state before the contacts start at %v", contactsStart)
+	}
 }
 
 // Guards against a fleet that does not start without its contacts: all VMs read the store after a bounded wait.
--- a/internal/fabric/socket.go
+++ b/internal/fabric/socket.go
@@ -48,9 +48,9 @@
 	oversized  metrics.Counter
 }
 
-// New opens the receiving socket on address and starts the reader, which calls handler for each batch. The second result closes
-// the sockets after the last call of handler. The handler can run before New returns, so a handler that uses the Socket
-// must take a lock that the caller of New holds until it has stored the Socket. counters may be nil.
+// New opens the receiving socket on address and starts the reader, which calls handler for each batch. The second
+// result closes the sockets after the last call of handler. The handler can run before New returns, so a handler that
+// uses the Socket must take a lock that the caller of New holds until it has stored the Socket. counters may be nil.
 func New(address netip.AddrPort, counters *counter.Set, handler func(batch []Datagram)) (*Socket, func(), error) {
 	s := &Socket{
 		queueFull: counters.Counter("dropped-send-queue"), sendErrors: counters.Counter("dropped-send-error"),
