--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -300,7 +300,13 @@
 // handleAnnouncement applies an announcement, and starts a read of the store when the announcement requires one.
 func (d *dsrDaemon) handleAnnouncement(now time.Duration, m *announce.Message) {
 	d.lastUpdate = now
-	a := d.peers.group.Handle(now, m, d.replica.Revision(), d.engine.Registry.Version())
+	revision := d.replica.Revision()
+	if len(m.Changes) > 0 && m.Revision < revision {
+		d.counters.Add("announcements-outdated", 1)
+		d.log.Info("announcement-outdated", zap.String("source", m.From), zap.Uint64("revision", m.Revision),
+			zap.Uint64("own-revision", revision))
+	}
+	a := d.peers.group.Handle(now, m, revision, d.engine.Registry.Version())
 	for _, c := range a.Apply {
 		d.engine.Registry.Apply(now, c, d.replica.StoreDown())
 	}
--- a/cmd/masticspard/dsr_store.go
+++ b/cmd/masticspard/dsr_store.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/masticspar/masticspar/internal/history"
 	"github.com/masticspar/masticspar/internal/registry"
 	"github.com/masticspar/masticspar/internal/replica"
 	"github.com/masticspar/masticspar/platform/store"
@@ -30,6 +31,7 @@
 		ShouldRead:   d.shouldRead,
 		Lost:         d.storeLost,
 		Regained:     d.storeRegained,
+		Restored:     d.storeRestored,
 		Counters:     d.counters,
 	}
 	if d.peers != nil {
@@ -73,6 +75,12 @@
 	d.engine.Registry.ExtendGracePeriod(d.timer.Now())
 }
 
+// storeRestored logs that the store was restored from a copy.
+func (d *dsrDaemon) storeRestored(before, now history.Position) {
+	d.log.Warn("store-restored", zap.Uint64("era", now.Era), zap.Uint64("revision", now.Revision),
+		zap.Uint64("before-era", before.Era), zap.Uint64("before-revision", before.Revision))
+}
+
 // replace replaces the registry with a full read of the store. storeDown reports whether the store was recently
 // unavailable.
 func (d *dsrDaemon) replace(changes []registry.Change, revision uint64, storeDown bool) {
@@ -90,6 +98,10 @@
 func (d *dsrDaemon) apply(changes []registry.Change, since, revision uint64, storeDown bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if len(changes) > 0 {
+		d.log.Info("changes-read", zap.Uint64("since", since), zap.Uint64("revision", revision),
+			zap.Int("changes", len(changes)))
+	}
 	d.update(changes, func(now time.Duration) {
 		for _, c := range changes {
 			d.engine.Registry.Apply(now, c, storeDown)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -10,6 +10,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/masticspar/masticspar/internal/counter"
+	"github.com/masticspar/masticspar/internal/history"
 	"github.com/masticspar/masticspar/internal/registry"
 )
 
@@ -47,6 +48,8 @@
 type Page struct {
 	// Changes are the entries, or the changes in the order of their revisions.
 	Changes []registry.Change
+	// Era is the era in which the store was read.
+	Era uint64
 	// Revision is the revision of the store to continue from.
 	Revision uint64
 	// Next is the position of the next page; it is empty on the last page.
@@ -83,6 +86,8 @@
 	// Lost and Regained are called once for each outage of the store, when it starts and when it ends.
 	Lost     func(reason error)
 	Regained func(outage time.Duration)
+	// Restored is called when the store replies in another era than before, with the previous position; nil ignores it.
+	Restored func(before, now history.Position)
 	// Now returns the monotonic time.
 	Now func() time.Duration
 	// WatchTimeout is how long the store delays its reply to a watch while there is no change.
@@ -99,6 +104,7 @@
 	tb tomb.Tomb
 
 	mu               sync.Mutex
+	era              uint64 // of the last reply of the store
 	revision         uint64
 	synced           bool // whether the state is complete
 	configurationDue bool // whether the next step reads only the configuration
@@ -233,6 +239,7 @@
 		return delay
 	}
 	r.recordSuccess()
+	r.recordEra(page)
 	revision := r.Revision()
 	r.Apply(page.Changes, revision, revision, r.recentOutage())
 	return 0
@@ -279,6 +286,9 @@
 	started := r.Now()
 	page, err := r.Read(call, after)
 	r.Counters.Observe("store-read", r.Now()-started)
+	if err == nil {
+		r.recordEra(page)
+	}
 	return page, err
 }
 
@@ -333,6 +343,7 @@
 		return r.recordFailure(err), err
 	}
 	r.recordSuccess()
+	r.recordEra(page)
 	r.Apply(page.Changes, since, max(since, page.Revision), r.recentOutage())
 	r.Advance(page.Revision)
 	if len(page.Changes) == 0 {
@@ -341,6 +352,21 @@
 	return r.BatchDelay, nil
 }
 
+// recordEra reports a reply that is from another era than the one before.
+func (r *Replica) recordEra(p Page) {
+	r.mu.Lock()
+	before := history.Position{Era: r.era, Revision: r.revision}
+	r.era = p.Era
+	r.mu.Unlock()
+	if before.Revision == 0 || p.Era == before.Era {
+		return
+	}
+	r.Counters.Add("store-restored", 1)
+	if r.Restored != nil {
+		r.Restored(before, history.Position{Era: p.Era, Revision: p.Revision})
+	}
+}
+
 func (r *Replica) recordFailure(err error) time.Duration {
 	if !r.tb.Alive() {
 		return 0 // The call was canceled because the Replica stops.
