Reproduce a configuration that is lost after a restore of the store

The test fails on the current code: the daemon watches from a revision of the lost history, and the configuration that has got this revision is never read.

--- a/cmd/masticspard/dsr_test.go
+++ b/cmd/masticspard/dsr_test.go
@@ -201,6 +201,32 @@
 	})
 }
 
+// Guards against a confirmed configuration that is not in force after the store was restored from a copy: its revision
+// was given out before, so a watch that continues from the revision of the lost history never returns it.
+func TestDSRAppliesConfigurationWithReusedRevision(t *testing.T) {
+	is := is.New(t)
+	s := newDSRSite(t, "i-1")
+	backup := s.store.Backup()
+	s.putHost("i-1", false)
+	set := s.settings("entry-1")
+	d, logs := s.start(set)
+	s.waitFor("the lost revision", func() bool { return d.replica.Revision() == 3 })
+	s.store.SetFaults(standin.Faults{Status: http.StatusServiceUnavailable})
+	s.waitFor("outage of the store", func() bool { return logs.FilterMessage("store-lost").Len() == 1 })
+	s.store.Restore(backup)
+	s.putConfiguration(2)
+	s.putHost("i-1", false)
+	s.store.SetFaults(standin.Faults{})
+	deadline := time.Now().Add(time.Duration(set.ConfigurationBound) + time.Duration(set.SettleTime))
+	for d.configuration().Version != 2 {
+		if time.Now().After(deadline) {
+			t.Fatalf("got version %d after the bound, want 2", d.configuration().Version)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(logs.FilterMessage("store-restored").Len(), 1)
+}
+
 // Guards against packets that are lost while a new daemon reads the store, and against a lost packet of a flow whose
 // server another entry VM received from the store earlier. Callers would retransmit them only after 200 ms or more.
 func TestDSRHoldsPacketsUntilRegistryUpdate(t *testing.T) {
