--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -17,6 +17,7 @@
 	"github.com/masticspar/masticspar/internal/dsr"
 	dsrsettings "github.com/masticspar/masticspar/internal/dsr/settings"
 	"github.com/masticspar/masticspar/internal/fabric"
+	"github.com/masticspar/masticspar/internal/history"
 	"github.com/masticspar/masticspar/internal/lookup"
 	"github.com/masticspar/masticspar/internal/member"
 	"github.com/masticspar/masticspar/internal/registry"
@@ -59,6 +60,8 @@
 	// The member that announced the newest configuration, and its version.
 	configurationSource  netip.AddrPort
 	configurationVersion uint64
+
+	stateSource netip.AddrPort // the member that announced the latest era of the store
 }
 
 func newPeers(s *dsrsettings.Settings, counters *counter.Set, log *zap.Logger, now func() time.Duration) *peers {
@@ -183,7 +186,10 @@
 	if maxAge > 0 && (!d.replica.Consistent() || d.timer.Now()-d.lastUpdate > maxAge) {
 		return nil
 	}
-	return &snapshot.Snapshot{Revision: d.replica.Revision(), Servers: r.Changes(), Configuration: r.Configuration()}
+	at := d.replica.Position()
+	return &snapshot.Snapshot{
+		Era: at.Era, Revision: at.Revision, Servers: r.Changes(), Configuration: r.Configuration(),
+	}
 }
 
 // configuration returns the active configuration.
@@ -209,11 +215,27 @@
 	return replica.Page{}, errors.Trace(err)
 }
 
+// fetchState fetches the snapshot of the entry VM that announced a later era of the store.
+func (d *dsrDaemon) fetchState(ctx context.Context) (replica.Page, error) {
+	d.mu.Lock()
+	source := d.peers.stateSource
+	d.mu.Unlock()
+	if !source.IsValid() {
+		return replica.Page{}, errors.New("no entry VM announced a later era")
+	}
+	s, err := snapshot.Fetch(ctx, source, 0)
+	if err != nil {
+		d.log.Info("state-source-failed", zap.Stringer("source", source), zap.Error(err))
+		return replica.Page{}, errors.Trace(err)
+	}
+	return d.newPage(source, s), nil
+}
+
 // newPage logs the snapshot of another entry VM and returns it as a page for the replica.
 func (d *dsrDaemon) newPage(source netip.AddrPort, s *snapshot.Snapshot) replica.Page {
-	d.log.Info("picture-of-peer", zap.Stringer("source", source), zap.Uint64("revision", s.Revision),
+	d.log.Info("picture-of-peer", zap.Stringer("source", source), zap.Uint64("era", s.Era), zap.Uint64("revision", s.Revision),
 		zap.Uint64("version", s.Configuration.Version), zap.Int("servers", len(s.Servers)))
-	return replica.Page{Changes: s.Changes(), Revision: s.Revision}
+	return replica.Page{Changes: s.Changes(), Era: s.Era, Revision: s.Revision}
 }
 
 // sources returns up to maxSources entry VMs in random order: at most one of each availability zone, the own zone
@@ -300,21 +322,27 @@
 // handleAnnouncement applies an announcement, and starts a read of the store when the announcement requires one.
 func (d *dsrDaemon) handleAnnouncement(now time.Duration, m *announce.Message) {
 	d.lastUpdate = now
-	revision := d.replica.Revision()
-	if len(m.Changes) > 0 && m.Revision < revision {
+	at := d.replica.Position()
+	if m.Era < at.Era || m.Era == at.Era && len(m.Changes) > 0 && m.Revision < at.Revision {
 		d.counters.Add("announcements-outdated", 1)
-		d.log.Info("announcement-outdated", zap.String("source", m.From), zap.Uint64("revision", m.Revision),
-			zap.Uint64("own-revision", revision))
+		d.log.Info("announcement-outdated", zap.String("source", m.From), zap.Uint64("era", m.Era),
+			zap.Uint64("revision", m.Revision), zap.Uint64("own-era", at.Era), zap.Uint64("own-revision", at.Revision))
+	}
+	a := d.peers.group.Handle(now, m, at, d.engine.Registry.Version())
+	if a.NeedsState {
+		if vm, ok := d.peers.list.Get(m.From); ok {
+			d.peers.stateSource = vm.Control
+		}
+		d.replica.FetchState(m.Era)
 	}
-	a := d.peers.group.Handle(now, m, revision, d.engine.Registry.Version())
 	for _, c := range a.Apply {
 		d.engine.Registry.Apply(now, c, d.replica.StoreDown())
 	}
 	if len(a.Apply) > 0 {
 		d.retryHeld(now)
 	}
-	if a.Revision > 0 {
-		d.replica.Advance(a.Revision)
+	if a.Position != (history.Position{}) {
+		d.replica.Advance(a.Position)
 		d.counters.Add("announcements-applied", 1)
 	}
 	if a.NeedsRead {
--- a/cmd/masticspard/dsr_store.go
+++ b/cmd/masticspard/dsr_store.go
@@ -36,6 +36,7 @@
 	}
 	if d.peers != nil {
 		c.ReadPeerConfiguration = d.fetchConfiguration
+		c.ReadPeerState = d.fetchState
 		c.Bootstrap = func(ctx context.Context) (replica.Page, error) { return d.bootstrap(ctx, client.IsSmall) }
 	}
 	r, stop := replica.New(c)
@@ -76,31 +77,31 @@
 }
 
 // storeRestored logs that the store was restored from a copy.
-func (d *dsrDaemon) storeRestored(before, now history.Position) {
-	d.log.Warn("store-restored", zap.Uint64("era", now.Era), zap.Uint64("revision", now.Revision),
+func (d *dsrDaemon) storeRestored(before, at history.Position) {
+	d.log.Warn("store-restored", zap.Uint64("era", at.Era), zap.Uint64("revision", at.Revision),
 		zap.Uint64("before-era", before.Era), zap.Uint64("before-revision", before.Revision))
 }
 
 // replace replaces the registry with a full read of the store. storeDown reports whether the store was recently
-// unavailable.
-func (d *dsrDaemon) replace(changes []registry.Change, revision uint64, storeDown bool) {
+// unavailable or restored.
+func (d *dsrDaemon) replace(changes []registry.Change, at history.Position, storeDown bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.update(changes, func(now time.Duration) { d.engine.Registry.Replace(now, changes, revision, storeDown) })
-	d.log.Info("picture-read", zap.Int("entries", len(changes)), zap.Uint64("revision", revision),
-		zap.Bool("away", storeDown))
+	d.update(changes, func(now time.Duration) { d.engine.Registry.Replace(now, changes, at, storeDown) })
+	d.log.Info("picture-read", zap.Int("entries", len(changes)), zap.Uint64("era", at.Era),
+		zap.Uint64("revision", at.Revision), zap.Bool("away", storeDown))
 	if d.peers != nil {
-		d.peers.group.Publish(revision, revision, d.engine.Registry.Version(), nil)
+		d.peers.group.Publish(at.Revision, at, d.engine.Registry.Version(), nil)
 	}
 }
 
 // apply applies changes of the store to the registry and announces them to other entry VMs.
-func (d *dsrDaemon) apply(changes []registry.Change, since, revision uint64, storeDown bool) {
+func (d *dsrDaemon) apply(changes []registry.Change, since, at history.Position, storeDown bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(changes) > 0 {
-		d.log.Info("changes-read", zap.Uint64("since", since), zap.Uint64("revision", revision),
-			zap.Int("changes", len(changes)))
+		d.log.Info("changes-read", zap.Uint64("era", at.Era), zap.Uint64("since", since.Revision),
+			zap.Uint64("revision", at.Revision), zap.Int("changes", len(changes)))
 	}
 	d.update(changes, func(now time.Duration) {
 		for _, c := range changes {
@@ -108,18 +109,18 @@
 		}
 	})
 	if d.peers != nil {
-		d.peers.group.Publish(since, revision, d.engine.Registry.Version(), changes)
+		d.peers.group.Publish(since.Revision, at, d.engine.Registry.Version(), changes)
 	}
 }
 
 // adopt applies the snapshot of another entry VM. The snapshot is not announced, because its age is unknown. Servers
 // that are missing from a complete snapshot may have lapsed there, so they lapse here, too.
-func (d *dsrDaemon) adopt(changes []registry.Change, revision uint64, complete bool) {
+func (d *dsrDaemon) adopt(changes []registry.Change, at history.Position, complete bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.update(changes, func(now time.Duration) {
 		if complete {
-			d.engine.Registry.Replace(now, changes, revision, true)
+			d.engine.Registry.Replace(now, changes, at, true)
 			return
 		}
 		for _, c := range changes {
--- a/cmd/masticspard/dsr_test.go
+++ b/cmd/masticspard/dsr_test.go
@@ -210,7 +210,7 @@
 	s.putHost("i-1", false)
 	set := s.settings("entry-1")
 	d, logs := s.start(set)
-	s.waitFor("the lost revision", func() bool { return d.replica.Revision() == 3 })
+	s.waitFor("the lost revision", func() bool { return d.replica.Position().Revision == 3 })
 	s.store.SetFaults(standin.Faults{Status: http.StatusServiceUnavailable})
 	s.waitFor("outage of the store", func() bool { return logs.FilterMessage("store-lost").Len() == 1 })
 	s.store.Restore(backup)
@@ -418,9 +418,11 @@
 	d.mu.Lock()
 	changes := slices.DeleteFunc(d.engine.Registry.Changes(), func(c registry.Change) bool { return c.Name == "i-2" })
 	d.mu.Unlock()
-	d.adopt(changes, d.replica.Revision()+5, false)
+	later := d.replica.Position()
+	later.Revision += 5
+	d.adopt(changes, later, false)
 	is.Equal(hosts(), 2)
-	d.adopt(changes, d.replica.Revision()+5, true)
+	d.adopt(changes, later, true)
 	s.waitFor("one server", func() bool { return hosts() == 1 })
 }
 
--- a/internal/announce/doc.go
+++ b/internal/announce/doc.go
@@ -8,5 +8,6 @@
 //
 // Announcements are datagrams without acknowledgement. Each names the revision from which its changes are complete, and
 // the changes of the last 1.2 s are repeated. A receiver that misses changes and does not get them from the following
-// announcements reads the store.
+// announcements reads the store. When the store was restored from a copy, changes do not lead from the former state to the
+// current one, so a receiver fetches the whole state from the sender.
 package announce
--- a/internal/announce/group.go
+++ b/internal/announce/group.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
+	"github.com/masticspar/masticspar/internal/history"
 	"github.com/masticspar/masticspar/internal/member"
 	"github.com/masticspar/masticspar/internal/registry"
 	"github.com/masticspar/masticspar/internal/rendezvous"
@@ -41,6 +42,8 @@
 type Message struct {
 	// From is the name of the sender.
 	From string `cbor:"1,keyasint"`
+	// Era is the era of the store in which Since and Revision were given out.
+	Era uint64 `cbor:"6,keyasint,omitempty"`
 	// Since is the revision after which Changes are complete.
 	Since uint64 `cbor:"2,keyasint"`
 	// Revision is the revision after Changes.
@@ -84,8 +87,10 @@
 type Action struct {
 	// Apply are the changes to apply, in order.
 	Apply []registry.Change
-	// Revision is the receiver's revision after Apply; 0 leaves it unchanged.
-	Revision uint64
+	// Position is the receiver's position after Apply; the zero value leaves it unchanged.
+	Position history.Position
+	// NeedsState reports whether the whole state has to be fetched from the sender, because the store was restored.
+	NeedsState bool
 	// NeedsRead reports whether the changes since the receiver's revision have to be read from the store.
 	NeedsRead bool
 	// NeedsConfiguration reports whether only the configuration has to be read from the store.
@@ -105,6 +110,7 @@
 	reader     bool
 	receivedAt time.Duration // time of the last announcement from another entry VM; initially startedAt
 	gapSince   time.Duration // time since which changes are missing; 0 if none are missing
+	era        uint64        // of the store at the last Publish
 	batches    []batch       // published changes, oldest first
 	latest     batch         // newest revision, without changes; zero while the store is unavailable
 	version    uint64        // version of the active configuration
@@ -156,10 +162,15 @@
 	return g.reader && now-g.startedAt >= joinTime || now-g.receivedAt >= announcementTimeout
 }
 
-// Publish queues the changes after since up to revision, which this entry VM has read from the store, for announcement.
-// Tick announces them while this entry VM is a reader. version is the version of the active configuration.
-func (g *Group) Publish(since, revision, version uint64, changes []registry.Change) {
+// Publish queues the changes after revision since up to a position of the same era, which this entry VM has read from
+// the store, for announcement. Tick announces them while this entry VM is a reader. version is the version of the active
+// configuration.
+func (g *Group) Publish(since uint64, at history.Position, version uint64, changes []registry.Change) {
+	if at.Era != g.era {
+		g.batches, g.era = nil, at.Era
+	}
 	g.version = version
+	revision := at.Revision
 	g.latest = batch{since: revision, revision: revision}
 	var servers []registry.Change
 	for _, c := range changes {
@@ -224,24 +235,32 @@
 }
 
 func (g *Group) announce(b batch) {
-	g.Send(g.zone, &Message{From: g.Self, Since: b.since, Revision: b.revision, Version: g.version, Changes: b.changes})
+	g.Send(g.zone, &Message{
+		From: g.Self, Era: g.era, Since: b.since, Revision: b.revision, Version: g.version, Changes: b.changes,
+	})
 }
 
-// Handle processes an announcement of another entry VM; revision and version are those of this entry VM. Changes after
-// a gap are not applied. The store has to be read if the gap lasts for gapTimeout.
-func (g *Group) Handle(now time.Duration, m *Message, revision, version uint64) Action {
+// Handle processes an announcement of another entry VM; at and version are the position and the version of this entry
+// VM. Changes after a gap are not applied. The store has to be read if the gap lasts for gapTimeout.
+func (g *Group) Handle(now time.Duration, m *Message, at history.Position, version uint64) Action {
 	if m.From == g.Self {
 		return Action{}
 	}
-	g.receivedAt = now
 	a := Action{NeedsConfiguration: m.Version > version}
+	if m.Era < at.Era {
+		return a // The sender has not noticed yet that the store was restored, so it does not count as a reader.
+	}
+	g.receivedAt = now
 	switch {
-	case m.Revision <= revision:
-		if m.Revision == revision {
+	case m.Era > at.Era:
+		a.Apply, a.NeedsState = m.Changes, true
+		g.gapSince = 0
+	case m.Revision <= at.Revision:
+		if m.Revision == at.Revision {
 			g.gapSince = 0
 		}
-	case m.Since <= revision:
-		a.Apply, a.Revision = m.Changes, m.Revision
+	case m.Since <= at.Revision:
+		a.Apply, a.Position = m.Changes, history.Position{Era: m.Era, Revision: m.Revision}
 		g.gapSince = 0
 	case g.gapSince == 0:
 		g.gapSince = now
--- a/internal/announce/group_test.go
+++ b/internal/announce/group_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/masticspar/masticspar/internal/history"
 	"github.com/masticspar/masticspar/internal/member"
 	"github.com/masticspar/masticspar/internal/registry"
 )
@@ -60,12 +61,12 @@
 	if g.unreachable {
 		return
 	}
-	a := g.Handle(z.now, m, g.revision, g.version)
+	a := g.Handle(z.now, m, history.Position{Era: g.era, Revision: g.revision}, g.version)
 	g.actions = append(g.actions, a)
 	for _, c := range a.Apply {
 		g.applied = append(g.applied, c.Name)
 	}
-	g.revision = max(g.revision, a.Revision)
+	g.revision = max(g.revision, a.Position.Revision)
 }
 
 func (z *zone) advance(d time.Duration) {
@@ -106,7 +107,7 @@
 	}
 	since := g.revision
 	g.revision = revision
-	g.Publish(since, revision, g.version, changes)
+	g.Publish(since, history.Position{Era: g.era, Revision: revision}, g.version, changes)
 }
 
 // Guards against a zone in which all entry VMs read the store, or none.
@@ -249,3 +250,42 @@
 	f.Add(b)
 	f.Fuzz(func(_ *testing.T, b []byte) { _, _ = Decode(b) })
 }
+
+// Guards against an entry VM that ignores all announcements after the store was restored, because their revisions are
+// lower than the one it has, but does not read the store either.
+func TestAnnouncementOfLaterEraNeedsState(t *testing.T) {
+	is := is.New(t)
+	z := newZone(3)
+	g, at := z.nonReader(), history.Position{Era: 1, Revision: 9}
+	g.Start(z.now, false)
+	changes := []registry.Change{{Name: "i-1", Era: 2, Revision: 7}}
+	m := &Message{From: "reader", Era: 2, Since: 6, Revision: 7, Changes: changes}
+	a := g.Handle(z.now, m, at, 1)
+	is.Equal(a, Action{Apply: changes, NeedsState: true})
+	at = history.Position{Era: 2, Revision: 6}
+	a = g.Handle(z.now, m, at, 1)
+	is.Equal(a, Action{Apply: changes, Position: history.Position{Era: 2, Revision: 7}})
+}
+
+// Guards against an entry VM that relies on a reader which has not noticed that the store was restored.
+func TestReaderOfEarlierEraDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	z := newZone(3)
+	g, at := z.nonReader(), history.Position{Era: 2, Revision: 6}
+	g.Start(z.now, false)
+	late := z.now + announcementTimeout
+	m := &Message{From: "reader", Era: 1, Since: 8, Revision: 9, Version: 2, Changes: []registry.Change{{Name: "i-1"}}}
+	is.Equal(g.Handle(late, m, at, 1), Action{NeedsConfiguration: true})
+	is.True(g.ShouldRead(late))
+}
+
+// Guards against changes of the lost history that are announced in the next era.
+func TestPublishDropsChangesOfEarlierEra(t *testing.T) {
+	is := is.New(t)
+	z := newZone(3)
+	reader := z.readers()[0]
+	reader.publish(9, "i-1")
+	reader.Publish(5, history.Position{Era: 1, Revision: 5}, 1, nil)
+	z.advance(time.Second)
+	is.Equal(len(z.nonReader().applied), 0)
+}
--- a/internal/history/position.go
+++ b/internal/history/position.go
@@ -14,3 +14,7 @@
 func (p Position) Compare(q Position) int {
 	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision))
 }
+
+// After reports whether the change at p was certainly made after the one at q. It returns false for a lower revision of
+// a later era, which can be from the copy that the store was restored from, or have been given out again.
+func (p Position) After(q Position) bool { return p.Era >= q.Era && p.Revision > q.Revision }
--- a/internal/lookup/resolver_test.go
+++ b/internal/lookup/resolver_test.go
@@ -8,13 +8,14 @@
 
 	"github.com/matryer/is"
 
+	"github.com/masticspar/masticspar/internal/history"
 	"github.com/masticspar/masticspar/internal/registry"
 )
 
 var sender = netip.MustParseAddrPort("10.1.0.10:7720")
 
 func retiredRecord(name string) registry.Record {
-	return registry.Record{FirstRevision: 1 << 40, Replaced: true, Host: registry.Host{
+	return registry.Record{First: history.Position{Era: 1 << 40, Revision: 1 << 40}, Replaced: true, Host: registry.Host{
 		Name: name, Number: 1 << 63, Service: strings.Repeat("s", 24), AvailabilityZone: strings.Repeat("z", 16), Slots: 2,
 		Address: netip.MustParseAddrPort("10.128.255.255:65535"), Started: 1 << 41, Cold: time.Hour,
 	}}
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -1,13 +1,17 @@
 package registry
 
-import "time"
+import (
+	"time"
+
+	"github.com/masticspar/masticspar/internal/history"
+)
 
 // Record describes a lifetime in a reply to an entry VM that received a packet with an unknown token.
 type Record struct {
 	// Host is the last entry of the server.
 	Host Host `cbor:"1,keyasint"`
-	// FirstRevision is the revision at which the lifetime was first listed.
-	FirstRevision uint64 `cbor:"2,keyasint"`
+	// First is the position at which the lifetime was first listed.
+	First history.Position `cbor:"2,keyasint"`
 	// Replaced reports whether the server has certainly ended.
 	Replaced bool `cbor:"3,keyasint,omitempty"`
 }
@@ -18,7 +22,7 @@
 	if l == nil {
 		return Record{}, false
 	}
-	return Record{Host: l.Host, FirstRevision: l.FirstRevision, Replaced: l.Replaced}, true
+	return Record{Host: l.Host, First: l.First, Replaced: l.Replaced}, true
 }
 
 // AddRetired adds a lifetime that the store does not list. It receives no new flows, but packets of its open flows are
@@ -30,11 +34,11 @@
 		return false
 	}
 	l := &Lifetime{
-		Host: record.Host, Token: token, State: StateGone, Since: now, FirstSeen: now, FirstRevision: record.FirstRevision,
+		Host: record.Host, Token: token, State: StateGone, Since: now, FirstSeen: now, First: record.First,
 		Replaced: record.Replaced,
 	}
 	for _, other := range []*Lifetime{r.names[l.Name], r.addresses[l.Address]} {
-		if other != nil && other.FirstRevision > l.FirstRevision {
+		if other != nil && other.First.After(l.First) {
 			l.Replaced = true
 		}
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/masticspar/masticspar/internal/history"
 )
 
 // DefaultGracePeriod is how long a lapsed lifetime receives new flows, which gives its server the time to be listed
@@ -77,7 +79,9 @@
 type Change struct {
 	// Name is the name of the server; empty for a configuration.
 	Name string `cbor:"1,keyasint,omitempty"`
-	// Revision is the store revision of the change, which orders the changes of a server.
+	// Era is the era of the store in which the change was read.
+	Era uint64 `cbor:"6,keyasint,omitempty"`
+	// Revision is the store revision of the change, which orders the changes of a server in one era.
 	Revision uint64 `cbor:"2,keyasint"`
 	// Created is the revision at which the entry of the server was created.
 	Created uint64 `cbor:"5,keyasint,omitempty"`
@@ -89,6 +93,11 @@
 	Fault string `cbor:"4,keyasint,omitempty"`
 }
 
+// position returns the position of the change in the store.
+func (c *Change) position() history.Position {
+	return history.Position{Era: c.Era, Revision: c.Revision}
+}
+
 // State is the state of a lifetime as seen by this entry VM.
 type State uint8
 
@@ -118,9 +127,9 @@
 	FirstSeen time.Duration
 	// ColdUntil is the time until which the server is slow after its start.
 	ColdUntil time.Duration
-	// FirstRevision is the store revision at which the lifetime was first listed. If two lifetimes have the same address,
-	// it belongs to the one with the later FirstRevision.
-	FirstRevision uint64
+	// First is the position at which the lifetime was first listed, in the latest era in which it was listed. If two
+	// lifetimes have the same address, it belongs to the one that was listed later.
+	First history.Position
 	// Replaced reports whether the server has certainly ended, because a newer lifetime has its name or its address.
 	Replaced bool
 	// Removed reports whether the entry was removed while the store was available, and has not been listed again. The
@@ -147,7 +156,7 @@
 	tokens     map[uint32]*Lifetime
 	addresses  map[netip.AddrPort]*Lifetime // lifetime to which each address is assigned
 	services   map[string][]*Lifetime       // lifetimes that receive new flows, by service
-	revisions  map[string]uint64            // revision of the last change of each name
+	positions  map[string]history.Position  // position of the last change of each name
 	unassigned map[string]Change            // listed servers whose service is not in the configuration
 	retired    map[*Lifetime]struct{}       // lapsed and gone lifetimes, which Sweep checks
 }
@@ -178,7 +187,8 @@
 	for name, l := range r.names {
 		if l.State == StateReady || l.State == StateLeaving {
 			h := l.Host
-			list = append(list, Change{Name: name, Revision: r.revisions[name], Created: l.FirstRevision, Host: &h})
+			at := r.positions[name]
+			list = append(list, Change{Name: name, Era: at.Era, Revision: at.Revision, Created: l.First.Revision, Host: &h})
 		}
 	}
 	return list
@@ -210,13 +220,13 @@
 	if c.Configuration != nil {
 		return r.applyConfiguration(now, c.Configuration)
 	}
-	if c.Name == "" || c.Revision < r.revisions[c.Name] { // A later change was already applied.
+	if c.Name == "" || c.position().Compare(r.positions[c.Name]) < 0 { // A later change was already applied.
 		return false
 	}
-	if r.revisions == nil {
-		r.revisions = map[string]uint64{}
+	if r.positions == nil {
+		r.positions = map[string]history.Position{}
 	}
-	r.revisions[c.Name] = c.Revision
+	r.positions[c.Name] = c.position()
 	delete(r.unassigned, c.Name)
 	if c.Host != nil && !r.usableService(c.Host.Service) {
 		// An entry of an unknown service must not claim the address of a server in use, whoever wrote it.
@@ -232,7 +242,7 @@
 	l := r.names[c.Name]
 	if l == nil {
 		if c.Fault == "" {
-			delete(r.revisions, c.Name)
+			delete(r.positions, c.Name)
 		}
 		return false
 	}
@@ -246,9 +256,9 @@
 	return r.setState(now, l, StateGone)
 }
 
-// Replace applies a full read of the servers at a revision. Servers that are not in changes are treated as removed, as
+// Replace applies a full read of the servers at a position. Servers that are not in changes are treated as removed, as
 // in Apply.
-func (r *Registry) Replace(now time.Duration, changes []Change, revision uint64, storeDown bool) {
+func (r *Registry) Replace(now time.Duration, changes []Change, at history.Position, storeDown bool) {
 	named := make(map[string]bool, len(changes))
 	for _, c := range changes {
 		if c.Name != "" {
@@ -263,12 +273,12 @@
 	}
 	for name := range r.names {
 		if !named[name] {
-			r.Apply(now, Change{Name: name, Revision: revision}, storeDown)
+			r.Apply(now, Change{Name: name, Era: at.Era, Revision: at.Revision}, storeDown)
 		}
 	}
-	for name := range r.revisions {
+	for name := range r.positions {
 		if !named[name] && r.names[name] == nil { // Its entry was never usable.
-			delete(r.revisions, name)
+			delete(r.positions, name)
 		}
 	}
 }
@@ -302,7 +312,7 @@
 	}
 	if r.names[l.Name] == l {
 		delete(r.names, l.Name)
-		delete(r.revisions, l.Name)
+		delete(r.positions, l.Name)
 	}
 	r.releaseAddress(l)
 }
@@ -352,16 +362,18 @@
 func (r *Registry) applyHost(now time.Duration, c *Change) bool {
 	r.initMaps()
 	h := c.Host
-	first := c.Created
+	first := history.Position{Era: c.Era, Revision: max(c.Created, 1)}
 	l := r.names[h.Name]
 	if l != nil && l.Started != h.Started {
 		l.Replaced = true
 		r.setState(now, l, StateGone)
 		// The entry may have been created for the earlier start, so Created does not apply to this one.
-		l, first = nil, c.Revision
+		l, first = nil, c.position()
 	}
 	if l == nil {
-		l = r.add(now, h, max(first, 1))
+		l = r.add(now, h, first)
+	} else if c.Era > l.First.Era {
+		l.First = history.Position{Era: c.Era, Revision: min(l.First.Revision, c.Revision)}
 	}
 	moved := l.Address != h.Address || l.Service != h.Service
 	if moved {
@@ -390,13 +402,13 @@
 
 // add creates a lifetime, or returns the one that AddRetired has created. If two lifetimes have the same token, the
 // first keeps it and the other receives no flows.
-func (r *Registry) add(now time.Duration, h *Host, first uint64) *Lifetime {
+func (r *Registry) add(now time.Duration, h *Host, first history.Position) *Lifetime {
 	if l := r.tokens[NewToken(h.Name, h.Started)]; l != nil && l.Name == h.Name && l.Started == h.Started {
 		r.names[h.Name] = l
 		return l
 	}
 	l := &Lifetime{
-		Host: *h, Token: NewToken(h.Name, h.Started), State: StateGone, Since: now, FirstSeen: now, FirstRevision: first,
+		Host: *h, Token: NewToken(h.Name, h.Started), State: StateGone, Since: now, FirstSeen: now, First: first,
 	}
 	if r.tokens[l.Token] != nil {
 		l.Token = 0
@@ -415,7 +427,7 @@
 		return
 	}
 	replaced := other
-	if other == nil || other.FirstRevision <= l.FirstRevision {
+	if other == nil || other.First.Compare(l.First) <= 0 {
 		r.addresses[l.Address] = l
 	} else {
 		replaced = l
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/masticspar/masticspar/internal/history"
 )
 
 var (
@@ -39,8 +41,8 @@
 	is := is.New(t)
 	var r Registry
 	h := Host{Name: "i-1", Service: "standdesk", Address: netip.MustParseAddrPort("10.0.0.1:80"), Started: 1}
-	is.True(r.AddRetired(0, &Record{Host: h, FirstRevision: 3}))
-	is.True(!r.AddRetired(0, &Record{Host: h, FirstRevision: 3}))
+	is.True(r.AddRetired(0, &Record{Host: h, First: history.Position{Revision: 3}}))
+	is.True(!r.AddRetired(0, &Record{Host: h, First: history.Position{Revision: 3}}))
 	l := r.Lifetime(NewToken(h.Name, h.Started))
 	is.Equal(len(r.Hosts("standdesk")), 0)
 	is.True(!l.Replaced)
@@ -48,7 +50,7 @@
 	is.Equal(r.Hosts("standdesk"), []*Lifetime{l})
 	other := h
 	other.Name = "i-2" // It had the address earlier.
-	is.True(r.AddRetired(0, &Record{Host: other, FirstRevision: 2}))
+	is.True(r.AddRetired(0, &Record{Host: other, First: history.Position{Revision: 2}}))
 	is.True(r.Lifetime(NewToken(other.Name, 1)).Replaced)
 	r.Apply(0, Change{Name: h.Name, Revision: 10}, false)
 	r.Sweep(DefaultRetention)
@@ -68,10 +70,10 @@
 	is.Equal(len(r.Hosts("standdesk")), 1)
 	r.Apply(0, Change{Name: "i-3", Revision: 3, Fault: "state"}, false)
 	delete(r.tokens, NewToken(second.Name, 1))
-	r.Replace(0, nil, 9, false)
-	is.Equal(len(r.revisions), 2) // Replace removes that of i-3, which has no lifetime.
+	r.Replace(0, nil, history.Position{Revision: 9}, false)
+	is.Equal(len(r.positions), 2) // Replace removes that of i-3, which has no lifetime.
 	r.Sweep(DefaultRetention)
-	is.Equal(len(r.names)+len(r.tokens)+len(r.revisions)+len(r.addresses)+len(r.retired), 0)
+	is.Equal(len(r.names)+len(r.tokens)+len(r.positions)+len(r.addresses)+len(r.retired), 0)
 }
 
 // Guards against a server no longer receiving flows after its entry changed to another address or service.
@@ -166,7 +168,7 @@
 	older := host("i-1", 9, addressA)
 	r.Replace(0, []Change{
 		{Name: "i-0", Host: next, Revision: 8, Created: 8}, {Name: "i-1", Host: older, Revision: 9, Created: 2},
-	}, 9, false)
+	}, history.Position{Revision: 9}, false)
 	is.Equal(names(&r), []string{"i-0"})
 }
 
@@ -186,7 +188,7 @@
 	for i, a := range []netip.AddrPort{addressA, addressB} {
 		r.Apply(0, listed(host(fmt.Sprint("i-", i), 1, a), 1), false)
 	}
-	r.Replace(time.Second, nil, 9, true)
+	r.Replace(time.Second, nil, history.Position{Revision: 9}, true)
 	is.Equal(len(names(&r)), 2)
 	r.Apply(2*time.Second, listed(host("i-0", 1, addressA), 10), true)
 	r.Sweep(time.Second + DefaultGracePeriod)
@@ -198,7 +200,7 @@
 	is := is.New(t)
 	var r Registry
 	r.Apply(0, listed(host("i-0", 1, addressA), 1), false)
-	r.Replace(time.Second, nil, 9, false)
+	r.Replace(time.Second, nil, history.Position{Revision: 9}, false)
 	is.Equal(names(&r), []string{})
 }
 
@@ -320,3 +322,24 @@
 		})
 	})
 }
+
+// in returns c as read in an era.
+func in(era uint64, c Change) Change {
+	c.Era = era
+	return c
+}
+
+// Guards against a server that keeps its state for good after the store was restored, because the revision of its next
+// change is lower than that of a lost one.
+func TestChangeAfterRestoreIsApplied(t *testing.T) {
+	is := is.New(t)
+	var r Registry
+	h := host("i-1", 1, addressA)
+	r.Apply(0, in(1, listed(h, 9)), false)
+	leaving := *h
+	leaving.Leaving = true
+	r.Apply(0, in(2, listed(&leaving, 5)), false)
+	is.Equal(names(&r), []string{})
+	r.Apply(0, in(1, listed(h, 10)), false) // A delayed change of the lost history.
+	is.Equal(names(&r), []string{})
+}
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -16,10 +16,30 @@
 		return // The reason was counted by the callback.
 	}
 	r.Counters.Add("bootstrapped-from-peer", 1)
-	r.Adopt(page.Changes, page.Revision, true)
+	r.noticeEra(page.Era)
+	r.Adopt(page.Changes, page.Position(), true)
+	r.complete(page.Position())
+}
+
+// fetchState adopts the state of the process that announced a later era. It requests a full read of the store if this
+// fails.
+func (r *Replica) fetchState(ctx context.Context) time.Duration {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.revision, r.synced = max(r.revision, page.Revision), true
+	r.stateDue = false
+	r.mu.Unlock()
+	if r.ReadPeerState != nil {
+		page, err := r.ReadPeerState(ctx)
+		if err == nil && r.noticeEra(page.Era) >= 0 {
+			r.Counters.Add("peer-state-reads", 1)
+			r.reportRestore(page.Position())
+			r.Adopt(page.Changes, page.Position(), true)
+			r.complete(page.Position())
+			return 0
+		}
+	}
+	r.Counters.Add("peer-retry-state", 1)
+	r.Resync(false)
+	return 0
 }
 
 // Consistent reports whether the state is complete and its configuration is at least as new as Revision, so that
@@ -27,7 +47,7 @@
 func (r *Replica) Consistent() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.synced && !r.configurationDue && !r.readingDue
+	return r.synced && !r.configurationDue && !r.readingDue && r.at.Era == r.latestEra
 }
 
 // hedge reads the snapshot of another process if the store has not replied after peerDelay. The returned function
@@ -66,12 +86,14 @@
 		return // The store replied first.
 	}
 	r.peerReadAt = r.Now()
-	complete := page.Revision >= r.Revision()
-	r.Adopt(page.Changes, page.Revision, complete)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.configurationDue = true
-	if complete && !r.synced {
-		r.revision, r.synced, r.fullRead = max(r.revision, page.Revision), true, fullRead{}
+	at := page.Position()
+	complete := r.noticeEra(at.Era) >= 0 && at.Compare(r.Position()) >= 0
+	if complete {
+		r.reportRestore(at)
+	}
+	r.Adopt(page.Changes, at, complete)
+	if complete && (!r.isSynced() || at.Era > r.Position().Era) {
+		r.complete(at)
 	}
+	r.Resync(true)
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -22,6 +23,9 @@
 	ErrRefused = errors.ConstError("the store refused the call")
 )
 
+// errOutdated is the error for a reply that the store gave before it was restored.
+const errOutdated = errors.ConstError("the reply is from an earlier era of the store")
+
 const (
 	// readTimeout bounds one read; a slow store takes up to 0.25 s.
 	readTimeout = 1500 * time.Millisecond
@@ -40,7 +44,10 @@
 	peerReadInterval = 3 * time.Second
 	// roleCheckInterval is the time between two calls of ShouldRead while it returns false.
 	roleCheckInterval = 200 * time.Millisecond
-	// outageGracePeriod is how long after an outage a missing entry is treated as lapsed and not as removed.
+	// stateSpread is the time over which the entry VMs of a zone fetch the state from the one that announced a new era.
+	stateSpread = 500 * time.Millisecond
+	// outageGracePeriod is how long after an outage, or after the store was restored, a missing entry is treated as lapsed
+	// and not as removed.
 	outageGracePeriod = 4 * time.Second
 )
 
@@ -56,6 +63,9 @@
 	Next string
 }
 
+// Position returns the position of the page.
+func (p *Page) Position() history.Position { return history.Position{Era: p.Era, Revision: p.Revision} }
+
 // Config has the callbacks and settings of a Replica.
 type Config struct {
 	// Read returns the page after the given position, which is empty for the first page.
@@ -70,24 +80,27 @@
 	// ReadPeerConfiguration returns the configuration of the process that announced it. It is called before
 	// ReadConfiguration, which is called only if it fails; nil disables it.
 	ReadPeerConfiguration func(ctx context.Context) (Page, error)
+	// ReadPeerState returns the snapshot of the process that announced a later era of the store. If it fails, the store is
+	// read; nil disables it.
+	ReadPeerState func(ctx context.Context) (Page, error)
 	// ReadPeer returns the snapshot of another process. It is called when the store does not reply; nil disables it.
 	ReadPeer func(ctx context.Context) (Page, error)
-	// Replace is called with the result of a full read and its revision. storeDown reports whether the store was
-	// unavailable within the last 4 s.
-	Replace func(changes []registry.Change, revision uint64, storeDown bool)
-	// Apply is called with the changes after since up to revision, in order; the list may be empty. storeDown has the
-	// same meaning as in Replace.
-	Apply func(changes []registry.Change, since, revision uint64, storeDown bool)
-	// Adopt is called with the snapshot or configuration of another process and its revision. complete reports whether the snapshot is at
-	// least as new as the state of this Replica, so that servers missing from it are gone.
-	Adopt func(changes []registry.Change, revision uint64, complete bool)
+	// Replace is called with the result of a full read and its position. storeDown reports whether the store was
+	// unavailable or restored within the last 4 s.
+	Replace func(changes []registry.Change, at history.Position, storeDown bool)
+	// Apply is called with the changes after since up to position at of the same era, in order; the list may be empty.
+	// storeDown has the same meaning as in Replace.
+	Apply func(changes []registry.Change, since, at history.Position, storeDown bool)
+	// Adopt is called with the snapshot or configuration of another process and its position. complete reports whether
+	// the snapshot is at least as new as the state of this Replica, so that servers missing from it are gone.
+	Adopt func(changes []registry.Change, at history.Position, complete bool)
 	// ShouldRead reports whether this process has to watch the store itself; nil means that it has to.
 	ShouldRead func() bool
 	// Lost and Regained are called once for each outage of the store, when it starts and when it ends.
 	Lost     func(reason error)
 	Regained func(outage time.Duration)
-	// Restored is called when the store replies in another era than before, with the previous position; nil ignores it.
-	Restored func(before, now history.Position)
+	// Restored is called when the state of a later era is received, with the previous position; nil ignores it.
+	Restored func(before, at history.Position)
 	// Now returns the monotonic time.
 	Now func() time.Duration
 	// WatchTimeout is how long the store delays its reply to a watch while there is no change.
@@ -104,12 +117,14 @@
 	tb tomb.Tomb
 
 	mu               sync.Mutex
-	era              uint64 // of the last reply of the store
-	revision         uint64
-	synced           bool // whether the state is complete
-	configurationDue bool // whether the next step reads only the configuration
-	readingDue       bool // whether such a read is in progress
-	catchUpDue       bool // whether the next step reads the changes since revision, even if others watch the store
+	at               history.Position // up to which changes have been received
+	latestEra        uint64           // latest era of which this Replica knows
+	synced           bool             // whether the state is complete
+	configurationDue bool             // whether the next step reads only the configuration
+	readingDue       bool             // whether such a read is in progress
+	catchUpDue       bool             // whether the next step reads the changes since at, even if others watch the store
+	stateDue         bool             // whether the state has to be fetched from the process that announced a later era
+	stateAt          time.Duration
 	fullRead         fullRead
 
 	// Written with mu held, so that StoreDown can read them.
@@ -117,6 +132,8 @@
 	outageStart time.Duration // start of the current outage
 	outageEnd   time.Duration // end of the last outage
 	hadOutage   bool
+	restoredAt  time.Duration // when a later era was first noticed
+	wasRestored bool
 
 	failures   int           // consecutive calls that failed
 	peerReadAt time.Duration // when the last snapshot of another process arrived
@@ -125,9 +142,9 @@
 // fullRead is a full read in progress. The store may refuse one of its pages when all processes of a large fleet read
 // at the same time; the retry continues with this page.
 type fullRead struct {
-	next     string // position of the next page; empty before the first one
-	revision uint64 // revision of the first page; the pages are not atomic, and the first watch returns later changes
-	changes  []registry.Change
+	next    string           // key of the next page; empty before the first one
+	at      history.Position // of the first page; the pages are not atomic, and the first watch returns later changes
+	changes []registry.Change
 }
 
 // New starts a Replica that follows the store. The returned function stops it and waits until it has ended.
@@ -159,18 +176,33 @@
 	return r.recentOutage()
 }
 
-// Revision returns the revision up to which changes have been received.
-func (r *Replica) Revision() uint64 {
+// Position returns the position up to which changes have been received.
+func (r *Replica) Position() history.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.revision
+	return r.at
 }
 
-// Advance records that another process supplied the changes up to a revision.
-func (r *Replica) Advance(revision uint64) {
+// Advance records that another process supplied the changes up to a position. A position of another era is ignored,
+// because changes alone do not lead from one era to the next.
+func (r *Replica) Advance(at history.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.revision = max(r.revision, revision)
+	if at.Era == r.at.Era {
+		r.at.Revision = max(r.at.Revision, at.Revision)
+	}
+}
+
+// FetchState requests the state of the process that announced a later era of the store.
+func (r *Replica) FetchState(era uint64) {
+	if r.noticeEra(era) < 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if era > r.at.Era && !r.stateDue && r.synced {
+		r.stateDue, r.stateAt = true, r.Now()+rand.N(stateSpread)
+	}
 }
 
 // Resync requests a full read as the next call, or a read of only the configuration.
@@ -195,6 +227,7 @@
 func (r *Replica) step(ctx context.Context) time.Duration {
 	r.mu.Lock()
 	synced, configurationDue, catchUpDue := r.synced, r.configurationDue, r.catchUpDue
+	fetchState := r.stateDue && r.Now() >= r.stateAt
 	r.configurationDue, r.readingDue, r.catchUpDue = false, configurationDue, false
 	r.mu.Unlock()
 	defer func() {
@@ -210,6 +243,11 @@
 			r.CatchUp()
 		}
 		return r.readConfiguration(ctx)
+	case fetchState:
+		if catchUpDue {
+			r.CatchUp()
+		}
+		return r.fetchState(ctx)
 	case catchUpDue:
 		return r.catchUp(ctx)
 	case r.ShouldRead != nil && !r.ShouldRead():
@@ -223,7 +261,7 @@
 		page, err := r.ReadPeerConfiguration(ctx)
 		if err == nil {
 			r.Counters.Add("peer-configuration-reads", 1)
-			r.Adopt(page.Changes, r.Revision(), false)
+			r.Adopt(page.Changes, r.Position(), false)
 			return 0
 		}
 		r.Counters.Add("peer-retry-configuration", 1)
@@ -232,6 +270,9 @@
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	page, err := r.ReadConfiguration(call)
+	if err == nil && r.noticeEra(page.Era) < 0 {
+		err = errOutdated
+	}
 	if err != nil {
 		r.Resync(true)
 		delay := r.recordFailure(err)
@@ -239,16 +280,18 @@
 		return delay
 	}
 	r.recordSuccess()
-	r.recordEra(page)
-	revision := r.Revision()
-	r.Apply(page.Changes, revision, revision, r.recentOutage())
+	at := r.Position()
+	r.Apply(page.Changes, at, at, r.StoreDown())
+	if page.Era > at.Era {
+		r.Resync(false)
+	}
 	return 0
 }
 
 // readAll starts or continues a full read.
 func (r *Replica) readAll(ctx context.Context) time.Duration {
 	r.mu.Lock()
-	current, fresh := r.fullRead, r.revision == 0
+	current, fresh := r.fullRead, r.at.Revision == 0
 	r.mu.Unlock()
 	for {
 		stopHedge := func() {}
@@ -257,14 +300,21 @@
 		}
 		page, err := r.readPage(ctx, current.next)
 		stopHedge()
+		if err == nil && r.noticeEra(page.Era) < 0 {
+			err = errOutdated
+		}
 		if err != nil {
 			return r.suspendRead(ctx, current, err)
 		}
+		if current.next != "" && page.Era != current.at.Era {
+			current = fullRead{} // The earlier pages are from another era.
+			continue
+		}
 		if fresh && page.Next != "" && r.isSynced() {
 			return 0 // The snapshot of another process arrived first; the remaining pages are not needed.
 		}
 		if current.next == "" {
-			current.revision = page.Revision
+			current.at = page.Position()
 		}
 		current.changes = append(current.changes, page.Changes...)
 		if current.next = page.Next; current.next == "" {
@@ -272,11 +322,47 @@
 		}
 	}
 	r.recordSuccess()
-	r.Replace(current.changes, current.revision, r.recentOutage())
+	r.reportRestore(current.at)
+	r.Replace(current.changes, current.at, r.StoreDown())
+	r.complete(current.at)
+	return 0
+}
+
+// complete records that the state up to a position is complete.
+func (r *Replica) complete(at history.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.revision, r.synced, r.fullRead = max(r.revision, current.revision), true, fullRead{}
-	return 0
+	if at.Compare(r.at) > 0 {
+		r.at = at
+	}
+	r.synced, r.fullRead = true, fullRead{}
+	r.stateDue = r.stateDue && r.at.Era < r.latestEra
+}
+
+// noticeEra compares an era with the latest one of which this Replica knows, and records a later one.
+func (r *Replica) noticeEra(era uint64) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	order := cmp.Compare(era, r.latestEra)
+	if order > 0 {
+		r.latestEra = era
+		if r.at.Revision > 0 {
+			r.wasRestored, r.restoredAt = true, r.Now()
+		}
+	}
+	return order
+}
+
+// reportRestore reports that the state of a position is about to replace that of an earlier era.
+func (r *Replica) reportRestore(at history.Position) {
+	before := r.Position()
+	if before.Revision == 0 || at.Era <= before.Era {
+		return
+	}
+	r.Counters.Add("store-restored", 1)
+	if r.Restored != nil {
+		r.Restored(before, at)
+	}
 }
 
 func (r *Replica) readPage(ctx context.Context, after string) (Page, error) {
@@ -286,9 +372,6 @@
 	started := r.Now()
 	page, err := r.Read(call, after)
 	r.Counters.Observe("store-read", r.Now()-started)
-	if err == nil {
-		r.recordEra(page)
-	}
 	return page, err
 }
 
@@ -332,41 +415,33 @@
 	r.Counters.Add("store-watches", 1)
 	call, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
-	since := r.Revision()
-	page, err := r.Watch(call, since, wait)
+	since := r.Position()
+	page, err := r.Watch(call, since.Revision, wait)
 	if errors.Is(err, ErrCompacted) {
 		r.Counters.Add("store-retry-forgotten", 1)
 		r.Resync(false)
 		return 0, nil
 	}
+	if err == nil && r.noticeEra(page.Era) < 0 {
+		err = errOutdated
+	}
 	if err != nil {
 		return r.recordFailure(err), err
 	}
 	r.recordSuccess()
-	r.recordEra(page)
-	r.Apply(page.Changes, since, max(since, page.Revision), r.recentOutage())
-	r.Advance(page.Revision)
+	if page.Era != since.Era {
+		r.Resync(false) // The reply lacks the changes of its era up to the revision of the lost history.
+		return 0, nil
+	}
+	at := history.Position{Era: since.Era, Revision: max(since.Revision, page.Revision)}
+	r.Apply(page.Changes, since, at, r.StoreDown())
+	r.Advance(at)
 	if len(page.Changes) == 0 {
 		return 0, nil
 	}
 	return r.BatchDelay, nil
 }
 
-// recordEra reports a reply that is from another era than the one before.
-func (r *Replica) recordEra(p Page) {
-	r.mu.Lock()
-	before := history.Position{Era: r.era, Revision: r.revision}
-	r.era = p.Era
-	r.mu.Unlock()
-	if before.Revision == 0 || p.Era == before.Era {
-		return
-	}
-	r.Counters.Add("store-restored", 1)
-	if r.Restored != nil {
-		r.Restored(before, history.Position{Era: p.Era, Revision: p.Revision})
-	}
-}
-
 func (r *Replica) recordFailure(err error) time.Duration {
 	if !r.tb.Alive() {
 		return 0 // The call was canceled because the Replica stops.
@@ -375,6 +450,8 @@
 	switch {
 	case errors.Is(err, ErrRefused):
 		reason = "refused"
+	case errors.Is(err, errOutdated):
+		reason = "outdated"
 	case errors.Is(err, context.DeadlineExceeded):
 		reason = "timeout"
 	}
@@ -402,5 +479,6 @@
 }
 
 func (r *Replica) recentOutage() bool {
-	return r.storeDown || r.hadOutage && r.Now()-r.outageEnd < outageGracePeriod
+	return r.storeDown || r.hadOutage && r.Now()-r.outageEnd < outageGracePeriod ||
+		r.wasRestored && r.Now()-r.restoredAt < outageGracePeriod
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/masticspar/masticspar/internal/counter"
+	"github.com/masticspar/masticspar/internal/history"
 	"github.com/masticspar/masticspar/internal/registry"
 )
 
@@ -58,9 +59,9 @@
 		ReadConfiguration: func(ctx context.Context) (Page, error) {
 			return receive(ctx, s.reads)
 		},
-		Replace: func(_ []registry.Change, _ uint64, storeDown bool) { s.record(event("replace", storeDown)) },
-		Apply:   func(_ []registry.Change, _, _ uint64, storeDown bool) { s.record(event("apply", storeDown)) },
-		Adopt: func(_ []registry.Change, _ uint64, complete bool) {
+		Replace: func(_ []registry.Change, _ history.Position, storeDown bool) { s.record(event("replace", storeDown)) },
+		Apply:   func(_ []registry.Change, _, _ history.Position, storeDown bool) { s.record(event("apply", storeDown)) },
+		Adopt: func(_ []registry.Change, _ history.Position, complete bool) {
 			if complete {
 				s.record("adopt")
 			} else {
@@ -103,9 +104,9 @@
 // Replace, Apply or Adopt, so the revision may still be the previous one when the event of the call arrives.
 func expectRevision(t *testing.T, r *Replica, want uint64) {
 	t.Helper()
-	for start := time.Now(); r.Revision() != want; time.Sleep(time.Millisecond) {
+	for start := time.Now(); r.Position().Revision != want; time.Sleep(time.Millisecond) {
 		if time.Since(start) > 10*time.Second {
-			t.Fatalf("got revision %d after 10s, want %d", r.Revision(), want)
+			t.Fatalf("got revision %d after 10s, want %d", r.Position().Revision, want)
 		}
 	}
 }
@@ -303,7 +304,7 @@
 	s.reader = false
 	r := s.follow(t, s.config())
 	s.watches <- result{page: Page{Revision: 8}}
-	r.Advance(7)
+	r.Advance(history.Position{Revision: 7})
 	time.Sleep(3 * roleCheckInterval)
 	if len(s.watches) == 0 {
 		t.Fatal("the store was watched although ShouldRead returned false")
@@ -412,3 +413,98 @@
 		}
 	}
 }
+
+// Guards against changes that are never applied after the store was restored: a watch that continues from a revision of
+// the lost history lacks the changes whose revisions were given out again.
+func TestRestoredStoreIsReadAgain(t *testing.T) {
+	is := is.New(t)
+	s := newStubStore()
+	c := s.config()
+	since := make(chan uint64, 10)
+	c.Watch = func(ctx context.Context, after uint64, _ time.Duration) (Page, error) {
+		since <- after
+		return receive(ctx, s.watches)
+	}
+	var restored []history.Position
+	c.Restored = func(before, at history.Position) { restored = append(restored, before, at) }
+	s.reads <- result{page: Page{Era: 1, Revision: 9}}
+	r, stop := New(c)
+	defer stop()
+	s.expect(t, "replace")
+	s.watches <- result{page: Page{Era: 2, Revision: 10, Changes: []registry.Change{{Name: "i-1", Revision: 10}}}}
+	s.reads <- result{page: Page{Era: 2, Revision: 7}}
+	s.expect(t, "replace during outage") // Missing entries may be written again.
+	s.watches <- result{page: Page{Era: 2, Revision: 8, Changes: []registry.Change{{Name: "i-1", Revision: 8}}}}
+	s.expect(t, "apply during outage")
+	is.Equal([]uint64{<-since, <-since}, []uint64{9, 7})
+	expectRevision(t, r, 8)
+	is.Equal(restored, []history.Position{{Era: 1, Revision: 9}, {Era: 2, Revision: 7}})
+	is.Equal(c.Counters.Values()["store-restored"], int64(1))
+}
+
+// Guards against a state that goes back to the lost history, because a reply was delayed until after the restore.
+func TestReplyOfEarlierEraIsIgnored(t *testing.T) {
+	is := is.New(t)
+	s := newStubStore()
+	c := s.config()
+	s.reads <- result{page: Page{Era: 2, Revision: 5}}
+	r, stop := New(c)
+	defer stop()
+	s.expect(t, "replace")
+	s.watches <- result{page: Page{Era: 1, Revision: 9, Changes: []registry.Change{{Name: "i-1", Revision: 9}}}}
+	s.expect(t, "lost")
+	s.watches <- result{page: Page{Era: 2, Revision: 6}}
+	s.expect(t, "regained", "apply during outage")
+	expectRevision(t, r, 6)
+	is.Equal(c.Counters.Values()["store-retry-outdated"], int64(1))
+}
+
+// Guards against a state that is put together from the pages of two eras.
+func TestFullReadStartsOverInLaterEra(t *testing.T) {
+	is := is.New(t)
+	s := newStubStore()
+	c := s.config()
+	var replaced []registry.Change
+	c.Replace = func(changes []registry.Change, _ history.Position, _ bool) {
+		replaced = changes
+		s.record("replace")
+	}
+	s.reads <- result{page: Page{Era: 1, Revision: 9, Next: "i-1", Changes: []registry.Change{{Name: "i-1"}}}}
+	s.reads <- result{page: Page{Era: 2, Revision: 7, Changes: []registry.Change{{Name: "i-3"}}}}
+	s.reads <- result{page: Page{Era: 2, Revision: 7, Changes: []registry.Change{{Name: "i-2"}}}}
+	r, stop := New(c)
+	defer stop()
+	s.expect(t, "replace")
+	is.Equal(replaced, []registry.Change{{Name: "i-2"}})
+	expectRevision(t, r, 7)
+}
+
+// Guards against an entry VM that keeps the lost history although another one announced a later era, and against a
+// state that is never received because that one fails.
+func TestFetchesStateOfLaterEra(t *testing.T) {
+	is := is.New(t)
+	s := newStubStore()
+	s.reader = false
+	c := s.config()
+	peer := make(chan result, 2)
+	c.ReadPeerState = func(ctx context.Context) (Page, error) { return receive(ctx, peer) }
+	s.reads <- result{page: Page{Era: 1, Revision: 9}}
+	r, stop := New(c)
+	defer stop()
+	s.expect(t, "replace")
+	r.Advance(history.Position{Era: 2, Revision: 20}) // Changes alone do not lead to the next era.
+	is.Equal(r.Position(), history.Position{Era: 1, Revision: 9})
+	peer <- result{page: Page{Era: 2, Revision: 7}}
+	r.FetchState(2)
+	is.True(!r.Consistent())
+	s.expect(t, "adopt")
+	expectRevision(t, r, 7)
+	is.True(r.Consistent())
+	is.True(r.StoreDown())
+	peer <- result{err: ErrRefused}
+	s.reads <- result{page: Page{Era: 3, Revision: 5}}
+	r.FetchState(3)
+	s.expect(t, "replace during outage")
+	expectRevision(t, r, 5)
+	is.Equal(c.Counters.Values()["peer-retry-state"], int64(1))
+}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -36,6 +36,8 @@
 
 // Snapshot is the state of the store as last received by an entry VM.
 type Snapshot struct {
+	// Era is the era of the store that Revision belongs to.
+	Era uint64 `cbor:"4,keyasint,omitempty"`
 	// Revision is the revision of the store up to which changes have been received; a valid snapshot has at least 1.
 	Revision uint64 `cbor:"1,keyasint"`
 	// Servers has one change for each server.
@@ -109,7 +111,7 @@
 			http.Error(w, "no picture", http.StatusServiceUnavailable)
 			return
 		}
-		reply(w, &complete, cacheKey{s.Revision, s.Configuration.Version}, s)
+		reply(w, &complete, cacheKey{s.Era, s.Revision, s.Configuration.Version}, s)
 	})
 	mux.HandleFunc("GET "+configurationPath, func(w http.ResponseWriter, _ *http.Request) {
 		c := source.Configuration()
@@ -147,7 +149,7 @@
 
 // cacheKey identifies a state that was compressed.
 type cacheKey struct {
-	revision, version uint64
+	era, revision, version uint64
 }
 
 // cache holds the compressed form of the last state, because many entry VMs request the same one when a fleet starts or
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -76,7 +76,7 @@
 	s, err := Fetch(context.Background(), a, time.Minute)
 	is.NoErr(err)
 	is.Equal(s, state)
-	for _, change := range []func(){func() { state.Revision++ }, func() { state.Configuration.Version++ }} {
+	for _, change := range []func(){func() { state.Era++ }, func() { state.Revision++ }, func() { state.Configuration.Version++ }} {
 		state = sample()
 		change()
 		s, err = Fetch(context.Background(), a, 0)
