Keep a server leaving when a restored copy lists it as ready

A store that was restored lists servers as they were when the copy was made. A server that had reported that it leaves, or that had left, got new flows again, although each entry VM knew better.

Only the revisions of the store were compared; the copy has an earlier report of the same start.

Change: reports of one start are ordered by their sequence when the era changes. An earlier report changes nothing but shows that the server is listed, so a lapsed one gets flows.

Evidence: TestRestoredCopyDoesNotListLeavingServer fails without the comparison ([i-1] instead of []).

--- a/internal/lookup/resolver_test.go
+++ b/internal/lookup/resolver_test.go
@@ -17,7 +17,7 @@
 func retiredRecord(name string) registry.Record {
 	return registry.Record{First: history.Position{Era: 1 << 40, Revision: 1 << 40}, Replaced: true, Host: registry.Host{
 		Name: name, Number: 1 << 63, Service: strings.Repeat("s", 24), AvailabilityZone: strings.Repeat("z", 16), Slots: 2,
-		Address: netip.MustParseAddrPort("10.128.255.255:65535"), Started: 1 << 41, Cold: time.Hour,
+		Address: netip.MustParseAddrPort("10.128.255.255:65535"), Started: 1 << 41, Cold: time.Hour, Sequence: 1 << 40,
 	}}
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -39,6 +39,8 @@
 	// Started is the start time in Unix milliseconds by the server's clock, which may have been set back since an earlier
 	// start.
 	Started int64 `cbor:"9,keyasint"`
+	// Sequence is the number of the report of this start that the entry is from.
+	Sequence int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Target is a service that receives a share of the flows of a route.
@@ -374,6 +376,9 @@
 		l = r.add(now, h, first)
 	} else if c.Era > l.First.Era {
 		l.First = history.Position{Era: c.Era, Revision: min(l.First.Revision, c.Revision)}
+		if h.Sequence < l.Sequence { // The store was restored from a copy with an earlier report.
+			return l.State == StateLapsed && r.setState(now, l, StateReady)
+		}
 	}
 	moved := l.Address != h.Address || l.Service != h.Service
 	if moved {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -343,3 +343,29 @@
 	r.Apply(0, in(1, listed(h, 10)), false) // A delayed change of the lost history.
 	is.Equal(names(&r), []string{})
 }
+
+// Guards against new flows to a server that is leaving or has left, because the copy from which the store was restored
+// still lists it as ready.
+func TestRestoredCopyDoesNotListLeavingServer(t *testing.T) {
+	for _, removed := range []bool{false, true} {
+		is := is.New(t)
+		var r Registry
+		h := host("i-1", 1, addressA)
+		h.Sequence = 4
+		r.Apply(0, in(1, listed(h, 3)), false)
+		leaving := *h
+		leaving.Leaving, leaving.Sequence = true, 5
+		r.Apply(0, in(1, listed(&leaving, 8)), false)
+		if removed {
+			r.Apply(0, Change{Name: "i-1", Era: 1, Revision: 9}, false)
+		}
+		copied := []Change{in(2, listed(h, 3))}
+		r.Replace(time.Second, copied, history.Position{Era: 2, Revision: 6}, true)
+		is.Equal(names(&r), []string{})
+		r.Sweep(time.Second + DefaultGracePeriod)
+		is.Equal(names(&r), []string{})
+		restarted := host("i-1", 2, addressA)
+		r.Apply(time.Minute, in(2, listed(restarted, 7)), false)
+		is.Equal(names(&r), []string{"i-1"})
+	}
+}
