Defer servers that a restored copy lists in place of later ones

After a restore of the store, flows of a live server could be reset, and the server got no new flows until the entry VMs restarted.

Cause: the copy lists servers that have ended since, at a position of the later era. An earlier start under the same name, or the previous server at the same address, was taken for the later one, so the live server counted as replaced, which is final. The same mistake was possible without a restore: the creation of an entry that was written again by a later start does not show when that start was listed first.

Change: a listed server that contradicts another one, and may be the earlier of both, is deferred until the other one is gone or listed as well, for 5 s at most. A lifetime counts as replaced only if it was certainly listed earlier. Changes after the first full read of an era are certain.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -15,6 +15,10 @@
 // again after an outage of the store.
 const DefaultGracePeriod = 2200 * time.Millisecond
 
+// deferPeriod is how long a listed server is deferred at most. It is longer than the store takes to remove the entry of a
+// server that has ended.
+const deferPeriod = 5 * time.Second
+
 // DefaultRetention is how long a lifetime is kept after it is gone.
 const DefaultRetention = 90 * time.Second
 
@@ -138,7 +142,8 @@
 	// server may still run if it cannot reach the store.
 	Removed bool
 
-	listed bool // whether it is in Registry.services
+	listed bool             // whether it is in Registry.services
+	last   history.Position // of the last change that listed the lifetime
 }
 
 // Registry is the current state of the registry. The zero value is empty and ready for use.
@@ -160,9 +165,17 @@
 	services   map[string][]*Lifetime       // lifetimes that receive new flows, by service
 	positions  map[string]history.Position  // position of the last change of each name
 	unassigned map[string]Change            // listed servers whose service is not in the configuration
+	deferred   map[string]deferredChange    // listed servers that may be from an outdated copy, see mayBeOutdated
+	base       history.Position             // of the first full read in its era; later changes are not from a copy
 	retired    map[*Lifetime]struct{}       // lapsed and gone lifetimes, which Sweep checks
 }
 
+// deferredChange is a listed server that is applied later.
+type deferredChange struct {
+	Change
+	since time.Duration
+}
+
 // NewToken returns the token of a lifetime. It is never 0, because packets without a token carry 0.
 func NewToken(name string, started int64) uint32 {
 	var d xxhash.Digest
@@ -193,6 +206,11 @@
 			list = append(list, Change{Name: name, Era: at.Era, Revision: at.Revision, Created: l.First.Revision, Host: &h})
 		}
 	}
+	for name, d := range r.deferred {
+		if l := r.names[name]; l == nil || l.State != StateLeaving {
+			list = append(list, d.Change)
+		}
+	}
 	return list
 }
 
@@ -230,6 +248,7 @@
 	}
 	r.positions[c.Name] = c.position()
 	delete(r.unassigned, c.Name)
+	delete(r.deferred, c.Name)
 	if c.Host != nil && !r.usableService(c.Host.Service) {
 		// An entry of an unknown service must not claim the address of a server in use, whoever wrote it.
 		if r.unassigned == nil {
@@ -239,7 +258,13 @@
 		c.Host, c.Fault = nil, FaultUnknownService
 	}
 	if c.Host != nil {
-		return r.applyHost(now, &c)
+		changed := false
+		if r.mayBeOutdated(&c) {
+			changed = r.deferHost(now, &c)
+		} else {
+			changed = r.applyHost(now, &c)
+		}
+		return r.applyDeferred(now) || changed
 	}
 	l := r.names[c.Name]
 	if l == nil {
@@ -273,6 +298,14 @@
 			delete(r.unassigned, name)
 		}
 	}
+	for name := range r.deferred {
+		if !named[name] {
+			delete(r.deferred, name)
+		}
+	}
+	if at.Era > r.base.Era {
+		r.base = at
+	}
 	for name := range r.names {
 		if !named[name] {
 			r.Apply(now, Change{Name: name, Era: at.Era, Revision: at.Revision}, storeDown)
@@ -302,6 +335,7 @@
 			r.forget(l)
 		}
 	}
+	r.applyDeferred(now)
 }
 
 func (r *Registry) forget(l *Lifetime) {
@@ -364,18 +398,17 @@
 func (r *Registry) applyHost(now time.Duration, c *Change) bool {
 	r.initMaps()
 	h := c.Host
-	first := history.Position{Era: c.Era, Revision: max(c.Created, 1)}
 	l := r.names[h.Name]
 	if l != nil && l.Started != h.Started {
-		l.Replaced = true
+		l.Replaced = l.Replaced || r.isAfter(c.position(), l.last)
 		r.setState(now, l, StateGone)
-		// The entry may have been created for the earlier start, so Created does not apply to this one.
-		l, first = nil, c.position()
 	}
-	if l == nil {
-		l = r.add(now, h, first)
-	} else if c.Era > l.First.Era {
-		l.First = history.Position{Era: c.Era, Revision: min(l.First.Revision, c.Revision)}
+	if l == nil || l.Started != h.Started {
+		l = r.add(now, h, r.first(c))
+	}
+	l.last = c.position()
+	if c.Era > l.First.Era {
+		l.First = r.first(c)
 		if h.Sequence < l.Sequence { // The store was restored from a copy with an earlier report.
 			return l.State == StateLapsed && r.setState(now, l, StateReady)
 		}
@@ -387,7 +420,9 @@
 	}
 	l.Host, l.Removed = *h, false
 	l.ColdUntil = now + h.Cold
-	r.claimAddress(now, l)
+	if !r.claimAddress(now, l) {
+		return true
+	}
 	state := StateReady
 	if h.Leaving {
 		state = StateLeaving
@@ -397,6 +432,64 @@
 	return changed || moved
 }
 
+// isAfter reports whether a change at p was certainly made after one at q.
+func (r *Registry) isAfter(p, q history.Position) bool {
+	return p.After(q) || p.Era > q.Era && p.Era == r.base.Era && p.Revision > r.base.Revision
+}
+
+// mayBeOutdated reports whether a listed server contradicts another one, and may be the earlier of both: its name has
+// another start, or its address another server. Before the store was restored, later changes than the listed ones may
+// have been made, and an entry may have been created for an earlier start than the one that it lists.
+func (r *Registry) mayBeOutdated(c *Change) bool {
+	if l := r.names[c.Name]; l != nil && l.Started != c.Host.Started && l.State != StateGone && c.Era > l.First.Era &&
+		!r.isAfter(c.position(), l.last) {
+		return true
+	}
+	other, first := r.addresses[c.Host.Address], r.first(c)
+	if other == nil || other.Name == c.Name || other.State == StateGone || r.isAfter(first, other.last) ||
+		r.isAfter(other.First, c.position()) {
+		return false
+	}
+	return c.Era > other.First.Era || other.First.After(first)
+}
+
+// deferHost keeps a listed server that may be outdated, until the server that it contradicts is gone or is listed as
+// well. The one that has its name is not listed any longer, so it lapses.
+func (r *Registry) deferHost(now time.Duration, c *Change) bool {
+	if r.deferred == nil {
+		r.deferred = map[string]deferredChange{}
+	}
+	r.deferred[c.Name] = deferredChange{*c, now}
+	l := r.names[c.Name]
+	return l != nil && l.Started != c.Host.Started && l.State == StateReady && r.setState(now, l, StateLapsed)
+}
+
+// applyDeferred applies the deferred servers that are not outdated and reports whether one changed the registry.
+func (r *Registry) applyDeferred(now time.Duration) bool {
+	changed := false
+	for name, d := range r.deferred {
+		if now-d.since >= deferPeriod || !r.mayBeOutdated(&d.Change) {
+			delete(r.deferred, name)
+			changed = r.applyHost(now, &d.Change) || changed
+		}
+	}
+	return changed
+}
+
+// first returns the position at which the start of a listed server was first listed, as far as it is known.
+func (r *Registry) first(c *Change) history.Position {
+	switch l := r.names[c.Name]; {
+	case l == nil:
+		return history.Position{Era: c.Era, Revision: max(c.Created, 1)}
+	case l.Started != c.Host.Started:
+		return c.position() // The entry may have been created for the earlier start.
+	case l.First.Era == c.Era:
+		return l.First
+	default:
+		return history.Position{Era: c.Era, Revision: min(l.First.Revision, c.Revision)}
+	}
+}
+
 func (r *Registry) initMaps() {
 	if r.names == nil {
 		r.names, r.tokens = map[string]*Lifetime{}, map[uint32]*Lifetime{}
@@ -425,22 +518,28 @@
 	return l
 }
 
-// claimAddress assigns the address of l to the lifetime that was listed with it last. The other lifetime is replaced.
-func (r *Registry) claimAddress(now time.Duration, l *Lifetime) {
+// claimAddress assigns the address of l to the lifetime that was listed with it last, and reports whether this is l. The
+// other lifetime is replaced if it was certainly listed earlier. Otherwise it is listed again when the address is free.
+func (r *Registry) claimAddress(now time.Duration, l *Lifetime) bool {
 	other := r.addresses[l.Address]
-	if other == l {
-		return
-	}
-	replaced := other
-	if other == nil || other.First.Compare(l.First) <= 0 {
+	if other == nil || other == l {
 		r.addresses[l.Address] = l
-	} else {
-		replaced = l
-	}
-	if replaced != nil {
-		replaced.Replaced = true
-		r.setState(now, replaced, StateGone)
-	}
+		return true
+	}
+	owner, loser := l, other
+	if r.isAfter(other.First, l.last) || other.State != StateGone && r.isAfter(other.First, l.First) {
+		owner, loser = other, l
+	}
+	r.addresses[l.Address] = owner
+	if owner.First == loser.First || r.isAfter(owner.First, loser.last) {
+		loser.Replaced = true
+	} else if !loser.Replaced && (loser == l || loser.State != StateGone) {
+		h, at := loser.Host, loser.last
+		c := Change{Name: h.Name, Era: at.Era, Revision: at.Revision, Created: loser.First.Revision, Host: &h}
+		r.deferHost(now, &c)
+	}
+	r.setState(now, loser, StateGone)
+	return owner == l
 }
 
 // setState sets the state of l and reports whether it changed. A replaced lifetime can only become gone.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -369,3 +371,212 @@
 		is.Equal(names(&r), []string{"i-1"})
 	}
 }
+
+// Guards against a live server that never gets flows again, and whose flows are reset, because the copy from which the
+// store was restored lists an earlier start of it.
+func TestRestoredCopyDoesNotReplaceLaterStart(t *testing.T) {
+	for _, listedAgain := range []bool{false, true} {
+		is := is.New(t)
+		var r Registry
+		r.Apply(0, in(1, listed(host("i-1", 1, addressA), 3)), false)
+		later := host("i-1", 2, addressA)
+		r.Apply(0, in(1, listed(later, 8)), false)
+		token := r.Hosts("standdesk")[0].Token
+		copied := []Change{in(2, listed(host("i-1", 1, addressA), 3))}
+		r.Replace(time.Second, copied, history.Position{Era: 2, Revision: 6}, true)
+		is.Equal(r.Hosts("standdesk")[0].Token, token) // Until it is listed again.
+		if listedAgain {
+			c := in(2, listed(later, 7))
+			c.Created = 3
+			r.Apply(2*time.Second, c, false)
+		}
+		r.Sweep(time.Second + DefaultGracePeriod)
+		is.True(!r.Lifetime(token).Replaced)
+		is.Equal(len(r.Hosts("standdesk")) == 1, listedAgain)
+	}
+}
+
+// Guards against a live server that never gets flows again, and whose flows are reset, because the copy from which the
+// store was restored lists the previous server at its address.
+func TestRestoredCopyDoesNotClaimAddress(t *testing.T) {
+	is := is.New(t)
+	var r Registry
+	previous, current := host("i-1", 1, addressA), host("i-2", 2, addressA)
+	r.Apply(0, in(1, listed(current, 8)), false)
+	token := r.Hosts("standdesk")[0].Token
+	r.Replace(time.Second, []Change{in(2, listed(previous, 3))}, history.Position{Era: 2, Revision: 6}, true)
+	is.Equal(names(&r), []string{"i-2"})
+	r.Apply(2*time.Second, in(2, listed(current, 7)), false)
+	is.Equal(names(&r), []string{"i-2"})
+	is.True(!r.Lifetime(token).Replaced)
+	is.True(r.Lifetime(NewToken("i-1", 1)).Replaced)
+}
+
+// Guards against a new server that never gets flows, because the previous server at its address was listed at a higher
+// revision of the lost history.
+func TestAddressIsReusedAfterRestore(t *testing.T) {
+	is := is.New(t)
+	var r Registry
+	r.Apply(0, in(1, listed(host("i-1", 1, addressA), 8)), false)
+	next := in(2, listed(host("i-2", 2, addressA), 7))
+	r.Replace(time.Second, []Change{next}, history.Position{Era: 2, Revision: 7}, true)
+	snapshot := r.Changes()
+	is.Equal(len(snapshot), 1) // Other entry VMs get the new server, too.
+	r.Sweep(time.Second + DefaultGracePeriod)
+	is.Equal(names(&r), []string{"i-2"})
+	r.Apply(time.Minute, Change{Name: "i-2", Era: 2, Revision: 9}, false)
+	is.Equal(names(&r), []string{})
+}
+
+// storeModel is a store that is restored from copies, with the backend servers that write to it.
+type storeModel struct {
+	era, revision uint64
+	entries       map[string]Change
+	running       map[string]*Host
+	sequence      map[string]int64
+	copied        map[string]Change
+	copiedAt      uint64
+}
+
+// write lists a running server, if its entry differs, and returns the change.
+func (m *storeModel) write(name string) (Change, bool) {
+	h := *m.running[name]
+	old, ok := m.entries[name]
+	if ok && old.Host.Started == h.Started && old.Host.Leaving == h.Leaving {
+		return Change{}, false
+	}
+	m.sequence[name]++
+	h.Sequence = m.sequence[name]
+	m.revision++
+	c := Change{Name: name, Era: m.era, Revision: m.revision, Created: m.revision, Host: &h}
+	if ok {
+		c.Created = old.Created
+	}
+	m.entries[name] = c
+	return c, true
+}
+
+// Guards against any order of restarts, drains, crashes, reused addresses and restores of the store after which the
+// registry differs from the servers that run, or after which one of them counts as replaced.
+func TestRegistryConvergesAfterRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r Registry
+		m := &storeModel{
+			era: 1, entries: map[string]Change{}, running: map[string]*Host{}, sequence: map[string]int64{},
+		}
+		now, starts, addresses := time.Second, map[int64]bool{}, map[string]netip.AddrPort{}
+		cutOff, pending := false, []Change(nil) // changes that have not reached the entry VM
+		deliver := func() {
+			for _, c := range pending {
+				r.Apply(now, c, false)
+			}
+			pending = nil
+		}
+		apply := func(c Change) {
+			if pending = append(pending, c); !cutOff {
+				deliver()
+			}
+		}
+		backup := func() { m.copied, m.copiedAt = maps.Clone(m.entries), m.revision }
+		backup()
+		rewriteAll := func() {
+			for _, name := range slices.Sorted(maps.Keys(m.running)) {
+				if c, ok := m.write(name); ok {
+					apply(c)
+				}
+			}
+		}
+		expire := func(name string) {
+			if _, ok := m.entries[name]; ok && m.running[name] == nil {
+				m.revision++
+				delete(m.entries, name)
+				apply(Change{Name: name, Era: m.era, Revision: m.revision})
+			}
+		}
+		drawName := func(t *rapid.T) string { return fmt.Sprint("i-", rapid.IntRange(0, 5).Draw(t, "name")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"start": func(t *rapid.T) {
+				name := drawName(t)
+				address, ok := addresses[name] // A server that starts again under its name keeps its address.
+				if !ok {
+					address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, rapid.ByteRange(1, 3).Draw(t, "address")}), 80)
+				}
+				for other, h := range m.running {
+					if h.Address == address && other != name {
+						t.Skip("the address is in use")
+					}
+				}
+				// The clock of a server may be set back between two starts.
+				started := rapid.Int64Range(1, 1<<40).Draw(t, "started")
+				if starts[started] {
+					t.Skip("the start time was used before")
+				}
+				starts[started], addresses[name] = true, address
+				m.running[name], m.sequence[name] = host(name, started, address), 0
+				c, _ := m.write(name)
+				apply(c)
+			},
+			"drain": func(t *rapid.T) {
+				name := drawName(t)
+				if m.running[name] == nil {
+					t.Skip("no server")
+				}
+				m.running[name].Leaving = true
+				if c, ok := m.write(name); ok {
+					apply(c)
+				}
+			},
+			"end":     func(t *rapid.T) { delete(m.running, drawName(t)) },
+			"expire":  func(t *rapid.T) { expire(drawName(t)) },
+			"backup":  func(*rapid.T) { backup() },
+			"cut off": func(*rapid.T) { cutOff = true },
+			"restore": func(t *rapid.T) {
+				cutOff, pending = false, nil
+				m.era++
+				m.entries, m.revision = maps.Clone(m.copied), m.copiedAt
+				for _, name := range slices.Sorted(maps.Keys(m.running)) { // Some servers write before the entry VM reads.
+					if rapid.Bool().Draw(t, "early") {
+						m.write(name)
+					}
+				}
+				var list []Change
+				for _, name := range slices.Sorted(maps.Keys(m.entries)) {
+					list = append(list, in(m.era, m.entries[name]))
+				}
+				r.Replace(now, list, history.Position{Era: m.era, Revision: m.revision}, true)
+				rewriteAll()
+			},
+			"wait": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond
+				r.Sweep(now)
+			},
+			"": func(t *rapid.T) {
+				for name, h := range m.running {
+					if l := r.Lifetime(NewToken(name, h.Started)); l != nil && l.Replaced {
+						t.Fatalf("start %d of %s runs, but counts as replaced", h.Started, name)
+					}
+				}
+			},
+		})
+		cutOff = false
+		deliver()
+		for i := range 6 {
+			expire(fmt.Sprint("i-", i))
+		}
+		rewriteAll()
+		r.Sweep(now + DefaultGracePeriod)
+		r.Sweep(now + deferPeriod)
+		var want []string
+		for name, h := range m.running {
+			if !h.Leaving {
+				want = append(want, name)
+			}
+		}
+		got := names(&r)
+		slices.Sort(got)
+		slices.Sort(want)
+		if !slices.Equal(got, want) {
+			t.Fatalf("got servers %v, want %v", got, want)
+		}
+	})
+}
