Back off when the store drops its history repeatedly

Cause: a watch that fails with 410 was followed by a full read and the next watch without any delay. The first time this is right, as changes would be late otherwise.

Change: from the second consecutive 410 on, the delays of failed calls apply.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -136,6 +136,7 @@
 	wasRestored bool
 
 	failures   int           // consecutive calls that failed
+	compacted  int           // consecutive watches for which the store no longer had the history
 	peerReadAt time.Duration // when the last snapshot of another process arrived
 }
 
@@ -420,7 +421,8 @@
 	if errors.Is(err, ErrCompacted) {
 		r.Counters.Add("store-retry-forgotten", 1)
 		r.Resync(false)
-		return 0, nil
+		r.compacted++
+		return backoff(r.compacted - 1), nil
 	}
 	if err == nil && r.noticeEra(page.Era) < 0 {
 		err = errOutdated
@@ -429,6 +431,7 @@
 		return r.recordFailure(err), err
 	}
 	r.recordSuccess()
+	r.compacted = 0
 	if page.Era != since.Era {
 		r.Resync(false) // The reply lacks the changes of its era up to the revision of the lost history.
 		return 0, nil
@@ -463,7 +466,15 @@
 		r.Lost(err)
 	}
 	r.failures++
-	delay := min(maxBackoff, minBackoff<<min(r.failures-1, 8))
+	return backoff(r.failures)
+}
+
+// backoff returns the delay after the given number of consecutive failures.
+func backoff(failures int) time.Duration {
+	if failures == 0 {
+		return 0
+	}
+	delay := min(maxBackoff, minBackoff<<min(failures-1, 8))
 	return delay/2 + rand.N(delay/2)
 }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -508,3 +508,18 @@
 	expectRevision(t, r, 5)
 	is.Equal(c.Counters.Values()["peer-retry-state"], int64(1))
 }
+
+// Guards against thousands of full reads in quick succession from a store that drops its history again and again.
+func TestRepeatedCompactionBacksOff(t *testing.T) {
+	s := newStubStore()
+	c := s.config()
+	c.Watch = func(context.Context, uint64, time.Duration) (Page, error) { return Page{}, ErrCompacted }
+	c.Read = func(context.Context, string) (Page, error) { return Page{Revision: 5}, nil }
+	c.Replace = func([]registry.Change, history.Position, bool) {}
+	_, stop := New(c)
+	time.Sleep(300 * time.Millisecond)
+	stop()
+	if reads := c.Counters.Values()["store-reads"]; reads < 2 || reads > 10 {
+		t.Fatalf("got %d full reads in 300ms, want 2 to 10", reads)
+	}
+}
