Play restores of the store in the soak

The soak did not restore the store, and did not notice a route that is not served: it only checked routes that were removed. New fault store-restored: the store goes back to a copy, a configuration gets the revision of a lost one, the servers write their entries again with increasing sequences, and entries of ended servers expire. New check: no flow of a route is refused later than the bound after the route was added.

--- a/Makefile
+++ b/Makefile
@@ -32,10 +32,12 @@
 # Daemons as processes with faults from outside; SEED chooses the faults and DURATION bounds the time with them.
 SEED ?= 1
 DURATION ?= 10s
+RESTORE_FAULTS := store-restored,server-leaves,store-restored,kill,store-restored,server-crashes
 soak:
 	@mkdir -p bin
 	@go build -o bin/ ./cmd/soak ./cmd/masticspard
 	@bin/soak --seed $(SEED) --duration $(DURATION)
+	@bin/soak --seed $(SEED) --faults $(RESTORE_FAULTS)
 
 # The mode with owners, then the token mode on stand-ins of the users' platform.
 demo: build
--- a/cmd/soak/check.go
+++ b/cmd/soak/check.go
@@ -40,6 +40,7 @@
 	serverDisturbedUntil map[string]time.Time         // end of the last disturbance of a server
 	storeDisturbedUntil  time.Time                    // end of the last disturbance of the store
 	leavingSince         map[string]time.Time         // when a server was published as leaving
+	routeAddedAt         map[netip.AddrPort]time.Time // when a route was added
 	routeRemovedAt       map[netip.AddrPort]time.Time // when a route was removed
 	routeServices        map[netip.AddrPort]string    // service of each route that was ever published
 }
@@ -49,7 +50,7 @@
 		idempotent: map[string]bool{}, runs: map[string]int{}, outcomes: map[caller.Outcome]int{},
 		quietOutcomes: map[caller.Outcome]int{}, entryDisturbedUntil: map[netip.Addr]time.Time{},
 		serverDisturbedUntil: map[string]time.Time{}, leavingSince: map[string]time.Time{},
-		routeRemovedAt: map[netip.AddrPort]time.Time{}, routeServices: map[netip.AddrPort]string{},
+		routeAddedAt: map[netip.AddrPort]time.Time{}, routeRemovedAt: map[netip.AddrPort]time.Time{}, routeServices: map[netip.AddrPort]string{},
 	}
 }
 
@@ -73,11 +74,17 @@
 	c.idempotent[request] = r.Idempotent
 }
 
-// openFailed records the outcome of a flow that could not be opened.
-func (c *checker) openFailed(o caller.Outcome) {
+// openFailed records and checks the outcome of a flow that could not be opened; from is the entry VM that reset it.
+func (c *checker) openFailed(o caller.Outcome, service netip.AddrPort, from netip.Addr) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.count("open-" + o)
+	if _, removed := c.routeRemovedAt[service]; removed || o != caller.OutcomeResetByEntry || !c.undisturbed(from) {
+		return
+	}
+	if age := time.Since(c.routeAddedAt[service]); age > configurationBound+margin {
+		c.addViolation("entry VM %s refused a flow of %v, %v after its route was added", from, service, age)
+	}
 }
 
 // count counts an outcome. c.mu must be locked.
@@ -172,6 +179,8 @@
 	c.routeServices[r.Address] = r.Targets[0].Service
 	if removed {
 		c.routeRemovedAt[r.Address] = time.Now()
+	} else {
+		c.routeAddedAt[r.Address] = time.Now()
 	}
 }
 
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -35,6 +35,11 @@
 	stopTimeout = 6*time.Second + maxFaultTime
 	// slowRun and slowStop are how long a slow daemon runs and stands still in turn.
 	slowRun, slowStop = 20 * time.Millisecond, 60 * time.Millisecond
+	// readTime is the time in which the daemons read a change.
+	readTime = time.Second
+	// maxRestoreOutage limits the outage before a restored store replies. rewriteTime is the time in which the servers
+	// write their entries again.
+	maxRestoreOutage, rewriteTime = 2 * time.Second, 2 * time.Second
 	// storeRecoveryTime is the time from the end of a proxy fault until the disturbance of its daemon ends. It is longer
 	// than the watch timeout, so the daemon has detected a lost reply by then.
 	storeRecoveryTime = 4 * time.Second
@@ -58,6 +63,7 @@
 		{"store-proxy", s.disturbProxy},
 		{"store-down", s.failStore},
 		{"store-forgets", s.dropStoreHistory},
+		{"store-restored", s.restoreStore},
 		{"server-leaves", s.drainServer},
 		{"server-crashes", s.crashServer},
 		{"server-cut", s.partitionServer},
@@ -238,6 +244,38 @@
 	return func() {}
 }
 
+// restoreStore copies the store, and restores it from this copy at the end of the fault. The operators and the servers
+// then write again what was lost, and the entries of servers that have ended expire.
+func (s *site) restoreStore(random *rand.Rand, _ time.Duration) func() {
+	backup := s.store.Backup()
+	outage := time.Duration(random.Int64N(int64(maxRestoreOutage)))
+	own := rand.New(rand.NewPCG(random.Uint64(), 0)) // The end of the fault runs beside the plan, which uses random.
+	return func() {
+		s.changeRoute(own, 0) // It is lost; the next one has its revision and includes it.
+		time.Sleep(readTime)
+		s.checker.disturbStore(time.Now().Add(outage + rewriteTime))
+		s.store.SetFaults(store.Faults{DropConnection: true})
+		s.store.Restore(backup)
+		s.changeRoute(own, 0)
+		time.Sleep(outage)
+		s.store.SetFaults(store.Faults{})
+		servers := s.allServers()
+		for _, v := range servers {
+			if v.Stopped() {
+				continue
+			}
+			s.publishServer(v)
+			time.Sleep(rewriteTime / time.Duration(2*len(servers)))
+		}
+		time.Sleep(crashedEntryTTL - rewriteTime/2)
+		for _, v := range s.allServers() {
+			if v.Stopped() {
+				s.store.Delete(wire.HostKey(v.Name))
+			}
+		}
+	}
+}
+
 // randomServer returns a server that is neither leaving nor the last one of its service.
 func (s *site) randomServer(random *rand.Rand) *server {
 	s.mu.Lock()
@@ -267,8 +305,7 @@
 	s.mu.Lock()
 	v.Leaving = true
 	s.mu.Unlock()
-	h := v.Host
-	s.store.Put(wire.HostKey(v.Name), wire.HostEntry(&h))
+	s.publishServer(v)
 	s.checker.publishLeaving(v.Name)
 	return func() {
 		time.Sleep(leavingServeTime)
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -132,8 +132,9 @@
 		if flow == nil {
 			route = s.randomRoute(random)
 			var outcome caller.Outcome
-			if flow, outcome = c.Open(route.Address); flow == nil {
-				s.checker.openFailed(outcome)
+			var from netip.Addr
+			if flow, outcome, from = c.Open(route.Address); flow == nil {
+				s.checker.openFailed(outcome, route.Address, from)
 				continue
 			}
 		}
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -181,10 +181,18 @@
 	s.mu.Lock()
 	s.servers[v.Name] = v
 	s.mu.Unlock()
-	s.store.Put(wire.HostKey(v.Name), wire.HostEntry(&v.Host))
+	s.publishServer(v)
 	return nil
 }
 
+// publishServer writes the next report of a server to the store.
+func (s *site) publishServer(v *server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v.Sequence++
+	s.store.Put(wire.HostKey(v.Name), wire.HostEntry(&v.Host))
+}
+
 func (s *site) allServers() (list []*server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
