Test followers and restarts after a restore of the store

A VM that does not watch the store gets the state of the new era from a reader without a call to the store, and a VM that starts while the store still has the former configuration and entries gets what was lost from another VM. Entries of the test site have increasing sequences, as those of servers do.

--- a/cmd/masticspard/dsr_test.go
+++ b/cmd/masticspard/dsr_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -40,6 +41,7 @@
 	address netip.AddrPort
 	caller  *net.UDPConn
 	hosts   map[string]*net.UDPConn
+	reports int64 // of all servers
 }
 
 func newDSRSite(t *testing.T, hosts ...string) *dsrSite {
@@ -71,9 +73,10 @@
 }
 
 func (s *dsrSite) putHost(name string, leaving bool) {
+	s.reports++
 	s.store.Put(wire.HostKey(name), wire.HostEntry(&registry.Host{
 		Service: "standdesk", Address: s.hosts[name].LocalAddr().(*net.UDPAddr).AddrPort(), AvailabilityZone: "wa-perth",
-		Slots: 2, Leaving: leaving, Started: 1,
+		Slots: 2, Leaving: leaving, Started: 1, Sequence: s.reports,
 	}))
 }
 
@@ -227,6 +230,84 @@
 	is.Equal(logs.FilterMessage("store-restored").Len(), 1)
 }
 
+// Guards against a route that was withdrawn, and a server that had left, being in use again: a daemon restarts while the
+// restored store still has the former configuration and entry.
+func TestDSRRestartAfterRestoreKeepsWhatWasLost(t *testing.T) {
+	is := is.New(t)
+	s := newDSRSite(t, "i-1", "i-2")
+	backup := s.store.Backup()
+	first := s.settings("entry-1")
+	d1, _ := s.start(first)
+	s.waitFor("ready", isReady(first))
+	s.putConfiguration(2)
+	s.putHost("i-2", true)
+	leaving := func(d *dsrDaemon) bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		l := d.engine.Registry.Lifetime(registry.NewToken("i-2", 1))
+		return d.engine.Registry.Version() == 2 && l != nil && l.State == registry.StateLeaving
+	}
+	s.waitFor("the changes that are lost", func() bool { return leaving(d1) })
+	s.store.Restore(backup)
+	s.waitFor("the restored store", func() bool { return d1.replica.Position().Era == 1 })
+	is.True(leaving(d1))
+	second := s.settings("entry-2", first.PeerAddress)
+	second.PeerAddress = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), first.PeerAddress.Port())
+	d2, _ := s.start(second)
+	s.waitFor("ready", isReady(second))
+	is.True(leaving(d2))
+}
+
+// Guards against a daemon that does not watch the store and keeps the state of the lost history, or reads the store like
+// all others of its zone at once.
+func TestDSRFollowerGetsStateOfRestoredStore(t *testing.T) {
+	is := is.New(t)
+	s := newDSRSite(t, "i-1")
+	var all []*dsrDaemon
+	var contact netip.AddrPort
+	for i := range 3 {
+		set := s.settings(fmt.Sprint("entry-", i))
+		if i == 0 {
+			contact = set.PeerAddress
+		} else {
+			set.Contacts = []netip.AddrPort{contact}
+		}
+		set.PeerAddress = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), contact.Port())
+		d, _ := s.start(set)
+		all = append(all, d)
+		s.waitFor("ready", isReady(set))
+	}
+	var follower *dsrDaemon
+	s.waitFor("a daemon that does not watch", func() bool {
+		for _, d := range all {
+			d.mu.Lock()
+			members := len(d.peers.list.Active())
+			d.mu.Unlock()
+			if members < len(all) {
+				return false
+			}
+		}
+		time.Sleep(2 * time.Second) // Daemons that have just started do not watch.
+		for _, d := range all {
+			if !d.shouldRead() {
+				follower = d
+			}
+		}
+		return follower != nil
+	})
+	backup := s.store.Backup()
+	s.putConfiguration(2)
+	s.waitFor("the change that is lost", func() bool { return follower.configuration().Version == 2 })
+	reads := follower.counters.Counter("store-reads").Count() + follower.counters.Counter("store-watches").Count()
+	s.store.Restore(backup)
+	s.putConfiguration(3)
+	s.waitFor("the state of the restored store", func() bool {
+		return follower.configuration().Version == 3 && follower.replica.Position().Era == 1
+	})
+	is.Equal(follower.counters.Counter("peer-state-reads").Count(), int64(1))
+	is.Equal(follower.counters.Counter("store-reads").Count()+follower.counters.Counter("store-watches").Count(), reads)
+}
+
 // Guards against packets that are lost while a new daemon reads the store, and against a lost packet of a flow whose
 // server another entry VM received from the store earlier. Callers would retransmit them only after 200 ms or more.
 func TestDSRHoldsPacketsUntilRegistryUpdate(t *testing.T) {
