--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -206,6 +206,9 @@
 			list = append(list, Change{Name: name, Era: at.Era, Revision: at.Revision, Created: l.First.Revision, Host: &h})
 		}
 	}
+	for _, c := range r.unassigned {
+		list = append(list, c)
+	}
 	for name, d := range r.deferred {
 		if l := r.names[name]; l == nil || l.State != StateLeaving {
 			list = append(list, d.Change)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -236,6 +236,21 @@
 	is.Equal(len(r.Hosts("photointake")), 1)
 }
 
+// Guards against a server that is never used by an entry VM which started with the state of another one: its service
+// became known only after that.
+func TestSnapshotHasServersOfUnknownServices(t *testing.T) {
+	is := is.New(t)
+	var r, fresh Registry
+	r.Apply(0, Change{Configuration: &Configuration{Version: 1, Services: []string{"photointake"}}}, false)
+	r.Apply(0, listed(host("i-1", 1, addressA), 1), false)
+	configuration := r.Configuration()
+	fresh.Apply(0, Change{Configuration: &configuration}, false)
+	fresh.Replace(0, r.Changes(), history.Position{Revision: 1}, true)
+	is.Equal(names(&fresh), []string{})
+	fresh.Apply(0, Change{Configuration: &Configuration{Version: 2, Services: []string{"photointake", "standdesk"}}}, false)
+	is.Equal(names(&fresh), []string{"i-1"})
+}
+
 // Guards against memory use that grows with each restart of a server.
 func TestRetiredLifetimesAreForgotten(t *testing.T) {
 	is := is.New(t)
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -78,9 +78,10 @@
 	return nil
 }
 
-// Changes returns the snapshot as changes for a Registry.
+// Changes returns the snapshot as changes for a Registry. The configuration is first, because it determines which servers
+// may be used.
 func (s *Snapshot) Changes() []registry.Change {
-	return append(s.Servers, registry.Change{Configuration: &s.Configuration})
+	return append([]registry.Change{{Configuration: &s.Configuration}}, s.Servers...)
 }
 
 // Source is the state that Serve serves.
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -157,3 +157,13 @@
 	f.Add(b)
 	f.Fuzz(func(_ *testing.T, b []byte) { _, _ = Decode(b) })
 }
+
+// Guards against a server of an unknown service that claims the address of another one, because it is applied before
+// the configuration.
+func TestConfigurationIsAppliedFirst(t *testing.T) {
+	is := is.New(t)
+	s := sample()
+	changes := s.Changes()
+	is.Equal(changes[0].Configuration, &s.Configuration)
+	is.Equal(changes[1:], s.Servers)
+}
