Correct the creation of an entry in a test, and a race in another

The entry is now created at the revision of its only change, as the store does; the check is the same. TestFetchesStateOfLaterEra compared the position before the replica had stored it; it waits now.

--- a/internal/dsr/engine_test.go
+++ b/internal/dsr/engine_test.go
@@ -328,7 +328,7 @@
 	e := newTestEngine(t, 1)
 	c := e.caller(1)
 	c.open()
-	e.Registry.Apply(e.now, registry.Change{Name: "i-9", Revision: uint64(e.now), Created: 99, Host: &registry.Host{
+	e.Registry.Apply(e.now, registry.Change{Name: "i-9", Revision: uint64(e.now), Created: uint64(e.now), Host: &registry.Host{
 		Name: "i-9", Service: "photointake", Address: netip.MustParseAddrPort("10.0.0.1:80"), Started: 2,
 	}}, false)
 	v := c.send(100)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -492,6 +492,7 @@
 	r, stop := New(c)
 	defer stop()
 	s.expect(t, "replace")
+	expectRevision(t, r, 9)
 	r.Advance(history.Position{Era: 2, Revision: 20}) // Changes alone do not lead to the next era.
 	is.Equal(r.Position(), history.Position{Era: 1, Revision: 9})
 	peer <- result{page: Page{Era: 2, Revision: 7}}
@@ -499,7 +500,7 @@
 	is.True(!r.Consistent())
 	s.expect(t, "adopt")
 	expectRevision(t, r, 7)
-	is.True(r.Consistent())
+	is.True(r.Consistent()) // It changes together with the position.
 	is.True(r.StoreDown())
 	peer <- result{err: ErrRefused}
 	s.reads <- result{page: Page{Era: 3, Revision: 5}}
