Report publications of a restored platform that cannot be active

Owner mode: after the configuration service was restored from a copy, operators could publish a version that the service accepted and no entry VM ever showed: neither active, nor refused, nor counted.

The watcher asked for documents after the active version, while the service gave out lower versions again. That the active version stays is right: it never goes back, and versions order the documents of the operators.

Change: responses carry the era. When it is raised, the watcher continues from the version that the service has, so each publication reaches the catalog, which refuses a lower version and reports a conflict; publication-behind is logged and counted. The stand-in platform learns the drill (switch restored).

Evidence: TestPublicationAfterRestoreIsReported; without the change it times out waiting for version 1.

--- a/cmd/masticspard/daemon.go
+++ b/cmd/masticspard/daemon.go
@@ -171,12 +171,20 @@
 			defer d.mu.Unlock()
 			return d.engine.HandleDocument(d.timer.Now(), c)
 		},
+		Behind:    d.reportBehind,
 		HandleVMs: d.setPlatformVMs,
 		Counters:  d.counters,
 	})
 	return stop, errors.Annotate(err, "platform")
 }
 
+// reportBehind logs that the platform was restored from a copy and that what it publishes cannot become active.
+func (d *daemon) reportBehind(kind fleet.Kind, published, active uint64) {
+	d.counters.Add("publication-behind-"+kind.String(), 1)
+	d.log.Warn("publication-behind", zap.Stringer("document", kind), zap.Uint64("published", published),
+		zap.Uint64("active", active))
+}
+
 // setPlatformVMs passes the control addresses that the platform lists to the engine. Invalid addresses are skipped.
 func (d *daemon) setPlatformVMs(list []publication.VM) {
 	addresses := make([]netip.AddrPort, 0, len(list))
--- a/internal/publication/watcher.go
+++ b/internal/publication/watcher.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -30,6 +31,9 @@
 	DefaultMaxBackoff      = 4 * time.Second
 )
 
+// eraHeader is the header of responses with the number of times that the service was restored from a copy.
+const eraHeader = "Store-Era"
+
 // VM is an entry of the list of VMs. The list lags behind the real state and only supplies addresses to try.
 type VM struct {
 	Name             string `json:"name"`
@@ -48,6 +52,9 @@
 	Version func(kind fleet.Kind) uint64
 	// HandleDocument is called with each received document and reports whether the document became active.
 	HandleDocument func(kind fleet.Kind, b []byte) bool
+	// Behind is called when the service was restored from a copy and its document has a version lower than the active one,
+	// which stays active; nil ignores it.
+	Behind func(kind fleet.Kind, published, active uint64)
 	// HandleVMs is called with each received list of VMs; if it is nil, the list is not read.
 	HandleVMs func(list []VM)
 	// Seed makes the jitter of the backoff reproducible.
@@ -136,10 +143,25 @@
 }
 
 func (w *Watcher) readDocument(ctx context.Context, r *reader, kind fleet.Kind) error {
-	query := fmt.Sprintf("/documents/%s?after=%d&wait=%d", kind, w.config.Version(kind),
-		int(w.config.WatchTimeout.Seconds()))
-	start := time.Now()
+	active := w.config.Version(kind)
+	after := active
+	if r.behind {
+		after = r.published
+	}
+	query := fmt.Sprintf("/documents/%s?after=%d&wait=%d", kind, after, int(w.config.WatchTimeout.Seconds()))
+	start, era := time.Now(), r.era
 	b, err := r.read(ctx, query, w.config.WatchTimeout+w.config.ExchangeTimeout)
+	if r.era > era && era > 0 {
+		// The service may serve and publish versions again that are not greater than the active one.
+		w.config.Counters.Add("platform-restored-"+r.name, 1)
+		r.behind, r.published = true, 0
+		if b == nil {
+			return err
+		}
+	}
+	if b != nil && r.behind {
+		w.compare(r, kind, b, active)
+	}
 	switch {
 	case err != nil:
 		return err
@@ -155,6 +177,20 @@
 	return nil
 }
 
+// compare records the version that a restored service has published, and reports one that is lower than the active one.
+func (w *Watcher) compare(r *reader, kind fleet.Kind, b []byte, active uint64) {
+	var head struct {
+		Version uint64 `json:"version"`
+	}
+	if json.Unmarshal(b, &head) != nil {
+		return // HandleDocument refuses it.
+	}
+	r.published, r.behind = head.Version, head.Version < active
+	if r.behind && w.config.Behind != nil {
+		w.config.Behind(kind, head.Version, active)
+	}
+}
+
 func (w *Watcher) readList(ctx context.Context, r *reader) error {
 	b, err := r.read(ctx, "/vms", w.config.ExchangeTimeout)
 	if err != nil {
@@ -178,6 +214,10 @@
 	config    *Config
 	random    *rand.Rand
 	transport *http.Transport
+
+	era       uint64 // latest era of the service, plus one; 0 is unknown
+	behind    bool   // whether the service was restored and may have published a lower version than the active one
+	published uint64 // version that the service has published, while behind
 }
 
 func (r *reader) run(ctx context.Context, read func() error) {
@@ -220,6 +260,9 @@
 		return nil, r.closeOnError(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if era, err := strconv.ParseUint(response.Header.Get(eraHeader), 10, 63); err == nil {
+		r.era = max(r.era, era+1)
+	}
 	switch response.StatusCode {
 	case http.StatusOK:
 	case http.StatusNotModified:
--- a/internal/publication/watcher_test.go
+++ b/internal/publication/watcher_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -20,6 +21,7 @@
 	mu       sync.Mutex
 	catalog  fleet.Catalog
 	list     []VM
+	behind   map[fleet.Kind]uint64 // published versions that Behind has reported
 	counters *counter.Set
 }
 
@@ -37,6 +39,14 @@
 			changed, _ := c.catalog.AcceptBytes(kind, "platform", b)
 			return changed
 		},
+		Behind: func(kind fleet.Kind, published, _ uint64) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if c.behind == nil {
+				c.behind = map[fleet.Kind]uint64{}
+			}
+			c.behind[kind] = published
+		},
 		HandleVMs: func(list []VM) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -58,6 +68,12 @@
 	return c.catalog.Versions().Of(kind).Number
 }
 
+func (c *client) reported(kind fleet.Kind) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.behind[kind]
+}
+
 func (c *client) retries(name string) int64 { return c.counters.Values()["platform-retry-"+name] }
 
 func eventually(t *testing.T, what string, ok func() bool) {
@@ -172,3 +188,31 @@
 		}
 	}
 }
+
+// Guards against a publication that is confirmed, but neither active nor refused: the service was restored from a copy
+// and gives versions out again, while the active one is greater. The active version must never go back.
+func TestPublicationAfterRestoreIsReported(t *testing.T) {
+	is := is.New(t)
+	var s standin.Server
+	c := &client{}
+	c.watch(t, s.Handler())
+	for version := 1; version <= 3; version++ {
+		publish(t, &s, version)
+	}
+	eventually(t, "version 3", func() bool { return c.version(fleet.Rules) == 3 })
+	reads := s.Reads()
+	s.Restore(2)
+	eventually(t, "report of version 1", func() bool { return c.reported(fleet.Rules) == 1 })
+	publish(t, &s, 2)
+	eventually(t, "report of version 2", func() bool { return c.reported(fleet.Rules) == 2 })
+	is.Equal(c.version(fleet.Rules), uint64(3))
+	is.NoErr(s.Publish("rules", []byte(`{"version":3,"services":[]}`))) // Other content than the active version 3.
+	eventually(t, "refusal of the conflict", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return strings.Contains(c.catalog.LastRefusal().Error, "other content")
+	})
+	is.NoErr(s.Publish("rules", []byte(`{"version":4}`)))
+	eventually(t, "version 4", func() bool { return c.version(fleet.Rules) == 4 })
+	is.True(s.Reads()-reads < 40)
+}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -28,6 +28,7 @@
 	documents map[string][]published // by kind, oldest first
 	vms       []byte                 // JSON; nil is an empty list
 	changed   chan struct{}          // closed and replaced with each change
+	era       uint64                 // number of times that the service was restored
 	down      bool
 	stale     bool
 	readDelay time.Duration
@@ -104,6 +105,18 @@
 	s.notifyReaders()
 }
 
+// Restore drops the newest n versions of each document, as a service that was restored from a copy does, and raises the
+// era. Pending long polls are cut.
+func (s *Server) Restore(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	for kind, all := range s.documents {
+		s.documents[kind] = all[:max(0, len(all)-n)]
+	}
+	s.notifyReaders()
+}
+
 // Reads returns the number of reads so far.
 func (s *Server) Reads() int {
 	s.mu.Lock()
@@ -145,12 +158,16 @@
 		http.NotFound(w, r)
 		return
 	}
+	era := s.writeEra(w)
 	// The inner limit prevents an overflow of the duration.
 	deadline := time.NewTimer(min(time.Duration(min(wait, 3600))*time.Second, MaxWait))
 	defer deadline.Stop()
 	responseDelay := s.countRead()
 	for expired := false; ; {
 		d, down, changed := s.current(kind, after)
+		if s.currentEra() != era {
+			panic(http.ErrAbortHandler)
+		}
 		if down || d.bytes != nil || expired {
 			s.delay(r, responseDelay)
 			respond(w, d.bytes, down)
@@ -166,6 +183,19 @@
 	}
 }
 
+// writeEra writes the era to the header of a response and returns it.
+func (s *Server) writeEra(w http.ResponseWriter) uint64 {
+	era := s.currentEra()
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+	return era
+}
+
+func (s *Server) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // countRead counts a read and returns the delay of its response.
 func (s *Server) countRead() time.Duration {
 	s.mu.Lock()
@@ -216,6 +246,7 @@
 }
 
 func (s *Server) getVMs(w http.ResponseWriter, r *http.Request) {
+	s.writeEra(w)
 	s.delay(r, s.countRead())
 	s.mu.Lock()
 	b, down := s.vms, s.down
@@ -242,7 +273,8 @@
 	}
 }
 
-// postSwitch switches a fault: the values of down and old are true or false, the value of slow is a duration.
+// postSwitch switches a fault: the values of down and old are true or false, the value of slow is a duration, that of
+// restored the number of lost versions.
 func (s *Server) postSwitch(w http.ResponseWriter, r *http.Request) {
 	name, value := r.PathValue("name"), r.FormValue("value")
 	on, err := strconv.ParseBool(value)
@@ -260,6 +292,11 @@
 		if d, err = time.ParseDuration(value); err == nil {
 			s.SetDelay(d)
 		}
+	case "restored":
+		var n uint64
+		if n, err = strconv.ParseUint(value, 10, 8); err == nil {
+			s.Restore(int(n))
+		}
 	default:
 		http.NotFound(w, r)
 		return
