Do not let an announced era make the replies of the store outdated

Found by reading the change: one announcement with a false era would have made a VM ignore the store for good, as the announced era counted as the latest one. Now only replies of the store and states of other VMs count.

--- a/internal/announce/group.go
+++ b/internal/announce/group.go
@@ -253,7 +253,7 @@
 	g.receivedAt = now
 	switch {
 	case m.Era > at.Era:
-		a.Apply, a.NeedsState = m.Changes, true
+		a.NeedsState = true
 		g.gapSince = 0
 	case m.Revision <= at.Revision:
 		if m.Revision == at.Revision {
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -29,7 +29,7 @@
 	r.mu.Unlock()
 	if r.ReadPeerState != nil {
 		page, err := r.ReadPeerState(ctx)
-		if err == nil && r.noticeEra(page.Era) >= 0 {
+		if err == nil && page.Era > r.Position().Era && r.noticeEra(page.Era) >= 0 {
 			r.Counters.Add("peer-state-reads", 1)
 			r.reportRestore(page.Position())
 			r.Adopt(page.Changes, page.Position(), true)
@@ -47,7 +47,7 @@
 func (r *Replica) Consistent() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.synced && !r.configurationDue && !r.readingDue && r.at.Era == r.latestEra
+	return r.synced && !r.configurationDue && !r.readingDue && !r.stateDue && r.at.Era == r.latestEra
 }
 
 // hedge reads the snapshot of another process if the store has not replied after peerDelay. The returned function
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -118,13 +118,13 @@
 
 	mu               sync.Mutex
 	at               history.Position // up to which changes have been received
-	latestEra        uint64           // latest era of which this Replica knows
+	latestEra        uint64           // latest era of a reply of the store or of a state of another process
 	synced           bool             // whether the state is complete
 	configurationDue bool             // whether the next step reads only the configuration
 	readingDue       bool             // whether such a read is in progress
 	catchUpDue       bool             // whether the next step reads the changes since at, even if others watch the store
 	stateDue         bool             // whether the state has to be fetched from the process that announced a later era
-	stateAt          time.Duration
+	stateAt          time.Duration    // when this is or was due
 	fullRead         fullRead
 
 	// Written with mu held, so that StoreDown can read them.
@@ -194,16 +194,16 @@
 	}
 }
 
-// FetchState requests the state of the process that announced a later era of the store.
+// FetchState requests the state of the process that announced a later era of the store. The announced era itself is not
+// recorded, so that a false one cannot make the replies of the store outdated.
 func (r *Replica) FetchState(era uint64) {
-	if r.noticeEra(era) < 0 {
-		return
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if era > r.at.Era && !r.stateDue && r.synced {
-		r.stateDue, r.stateAt = true, r.Now()+rand.N(stateSpread)
+	now := r.Now()
+	if era <= r.at.Era || r.stateDue || !r.synced || r.stateAt > 0 && now-r.stateAt < peerReadInterval {
+		return
 	}
+	r.stateDue, r.stateAt = true, now+rand.N(stateSpread)
 }
 
 // Resync requests a full read as the next call, or a read of only the configuration.
@@ -337,7 +337,6 @@
 		r.at = at
 	}
 	r.synced, r.fullRead = true, fullRead{}
-	r.stateDue = r.stateDue && r.at.Era < r.latestEra
 }
 
 // noticeEra compares an era with the latest one of which this Replica knows, and records a later one.
