--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 # The mode with owners, then the token mode on stand-ins of the users' platform.
 demo: build
 	bin/demo --binaries bin
-	bin/soak --daemons 3 --faults kill,roll,server-leaves,server-crashes,route,store-down
+	bin/soak --daemons 3 --faults kill,roll,server-leaves,server-crashes,route,store-down,store-restored
 
 # Figures of all scenarios in virtual time; the same on every run.
 measure:
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -261,12 +261,11 @@
 		c.Host, c.Fault = nil, FaultUnknownService
 	}
 	if c.Host != nil {
-		changed := false
+		apply := r.applyHost
 		if r.mayBeOutdated(&c) {
-			changed = r.deferHost(now, &c)
-		} else {
-			changed = r.applyHost(now, &c)
+			apply = r.deferHost
 		}
+		changed := apply(now, &c)
 		return r.applyDeferred(now) || changed
 	}
 	l := r.names[c.Name]
--- a/model/config.pml
+++ b/model/config.pml
@@ -2,13 +2,14 @@
  * Distribution of a published document to the entry VMs.
  *
  * The platform stores one document with a version. Two operators publish, and the platform accepts only a higher
- * version. It may serve an earlier version, and it may be down. Processes also exchange versions with each other, and a
+ * version. It may serve an earlier version, it may be down, and it may be restored from a copy with an earlier version;
+ * the operators then publish what was lost again before anything new. Processes also exchange versions with each other, and a
  * partition may separate any one of them from the others and the platform for a time. Process 0 may be replaced at any
  * time by a new process without state.
  *
  * The content of a version is modelled by the number of the operator that published it.
  *
- * Mutants (see run): NO_COMPARE_AND_SET, ACCEPT_LOWER, PLATFORM_FIRST, NO_SPREAD.
+ * Mutants (see run): NO_COMPARE_AND_SET, ACCEPT_LOWER, PLATFORM_FIRST, NO_SPREAD, REUSE_VERSION.
  */
 #ifndef PROCESSES
 #define PROCESSES 3
@@ -20,7 +21,8 @@
 bool ready[PROCESSES];
 bool queried[PROCESSES];      /* the process has queried its peers since it started */
 byte published;               /* newest version on the platform; 0 is none */
-byte platform_content[VERSIONS + 1]; /* content of each version on the platform */
+byte platform_content[VERSIONS + 1]; /* content of each version that was published, including lost ones */
+bool restored;
 bool platform_up = true;
 byte partitioned = PROCESSES; /* process separated from all others and the platform; PROCESSES is none */
 bool settled;                 /* faults and publications have ended; the platform is down, no process is partitioned */
@@ -140,7 +142,15 @@
 			printf("event publish %d %d\n", base + 1, id); published = base + 1; platform_content[base + 1] = id
 #else
 		:: base + 1 > published ->
-			printf("event publish %d %d\n", base + 1, id); published = base + 1; platform_content[base + 1] = id
+			printf("event publish %d %d\n", base + 1, id); published = base + 1;
+			if
+#ifndef REUSE_VERSION
+			:: platform_content[base + 1] != 0 -> skip /* It was lost and is published again. */
+			:: else -> platform_content[base + 1] = id
+#else
+			:: true -> platform_content[base + 1] = id
+#endif
+			fi
 		:: else -> skip /* refused: the other operator has published this version */
 #endif
 		fi }
@@ -151,6 +161,9 @@
 	byte p;
 end:	do
 	:: atomic { !settled -> platform_up = !platform_up }
+	:: atomic { !settled && !restored && published > 1 ->
+		printf("event restore %d\n", published - 1);
+		restored = true; published = published - 1 }
 	:: atomic { !settled && partitioned == PROCESSES ->
 		select(p : 0 .. PROCESSES - 1);
 		printf("event cut %d\n", p);
