Let a request to the platform carry the era of the last response

A watcher whose long poll was cut by a restore noticed it up to 30 s later: the HTTP transport repeats a request on a connection that breaks before the response, so the watcher saw no failure, and the repeated long poll waited. Requests now carry the era, and the service responds at once when it has another one. A trial with a read without waiting after each failure did not help, for the same reason.

--- a/cmd/demo/failure_test.go
+++ b/cmd/demo/failure_test.go
@@ -84,6 +84,38 @@
 	x.endFlows()
 }
 
+// Guards against documents that go back, and against a lower publication that nobody notices, after the platform was
+// restored from a copy. New processes must get the current documents from a peer.
+func TestPlatformRestored(t *testing.T) {
+	x := newTestSite(t)
+	x.must(x.prepare())
+	x.must(x.startEntries(1, 2))
+	lost := x.rules
+	for range 2 {
+		x.rules.Version++
+		x.must(x.publish("rules", x.rules))
+	}
+	active := func(i int) bool { return x.status(i).Rules.Version == x.rules.Version }
+	x.await("update at both", func() bool { return active(1) && active(2) })
+	x.must(requestJSON("POST", "http://"+x.platformAddress()+"/switch/restored?value=2", nil, nil))
+	lost.Version++
+	x.must(x.publish("rules", lost))
+	x.await("report of the lower version", func() bool {
+		return strings.Contains(x.entryLog(1), "publication-behind") && strings.Contains(x.entryLog(2), "publication-behind")
+	})
+	x.must(x.startEntry(3))
+	x.must(x.waitReady(3))
+	for i := 1; i <= 3; i++ {
+		if !active(i) {
+			t.Errorf("%s has version %d of the rules, want %d", entryName(i), x.status(i).Rules.Version, x.rules.Version)
+		}
+	}
+	x.must(x.publish("rules", x.rules))
+	x.rules.Version++
+	x.must(x.publish("rules", x.rules))
+	x.await("next version at all", func() bool { return active(1) && active(2) && active(3) })
+}
+
 // awaitDrained removes a draining entry VM from the fabric once it is not ready, and waits until its process has
 // exited.
 func (x *testSite) awaitDrained(i int, others ...int) {
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -253,6 +253,25 @@
 	checkNoNewFlow(t, s, published, "standdesk-4", "photointake-0")
 }
 
+// Guards against a server that was published as leaving and gets flows again, because the platform was restored from a
+// copy: the document must not go back, also in a new process.
+func TestPlatformRestoredFromCopy(t *testing.T) {
+	t.Parallel()
+	s := start(112, minute)
+	published := s.Now
+	publishLeaving(s, "standdesk-4", "photointake-0")
+	s.Run(activationBound)
+	s.Platform.Restore()
+	replaceVM(s, "entry-0")
+	s.Run(activationBound)
+	checkActive(t, s)
+	publishLeaving(s, "standdesk-5")
+	s.Run(activationBound)
+	checkActive(t, s)
+	finish(t, s, nil)
+	checkNoNewFlow(t, s, published, "standdesk-4", "photointake-0")
+}
+
 // Guards against an update that reaches only the processes that the platform responds to.
 func TestUpdateSpreadsFromHalfOfEntryVMs(t *testing.T) {
 	t.Parallel()
--- a/internal/publication/doc.go
+++ b/internal/publication/doc.go
@@ -7,4 +7,5 @@
 //
 // When the service was restored from a copy, it may have a lower version than the active one. The Watcher then watches
 // from the version that the service has, so that a publication which cannot become active is reported and not ignored.
+// Requests carry the era of the last response, and the service responds at once when it has another one.
 package publication
--- a/internal/publication/watcher.go
+++ b/internal/publication/watcher.go
@@ -149,6 +149,9 @@
 		after = r.published
 	}
 	query := fmt.Sprintf("/documents/%s?after=%d&wait=%d", kind, after, int(w.config.WatchTimeout.Seconds()))
+	if r.era > 0 {
+		query += fmt.Sprintf("&era=%d", r.era-1)
+	}
 	start, era := time.Now(), r.era
 	b, err := r.read(ctx, query, w.config.WatchTimeout+w.config.ExchangeTimeout)
 	if r.era > era && era > 0 {
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -159,6 +159,9 @@
 		return
 	}
 	era := s.writeEra(w)
+	if known := r.FormValue("era"); known != "" && known != strconv.FormatUint(era, 10) {
+		after, wait = 0, 0 // The version that the reader has is from before the restore.
+	}
 	// The inner limit prevents an overflow of the duration.
 	deadline := time.NewTimer(min(time.Duration(min(wait, 3600))*time.Second, MaxWait))
 	defer deadline.Stop()
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -37,7 +37,7 @@
 		{"POST /switch/old?value=false", "", 204, ""},
 		{"POST /switch/restored?value=x", "", 400, "strconv.ParseUint: parsing \"x\": invalid syntax\n"},
 		{"POST /switch/restored?value=1", "", 204, ""},
-		{"GET /documents/rules", "", 200, `{"version":2}`},
+		{"GET /documents/rules?after=3&wait=9&era=0", "", 200, `{"version":2}`},
 		{"POST /publish/rules", `{"version":3}`, 204, ""},
 		{"POST /switch/slow?value=1ms", "", 204, ""},
 		{"POST /switch/slow?value=x", "", 400, "time: invalid duration \"x\"\n"},
--- a/internal/standin/site/platform.go
+++ b/internal/standin/site/platform.go
@@ -24,6 +24,13 @@
 	history [len(fleet.Kinds)][][]byte
 }
 
+// Restore drops the newest publication of each kind, as a platform that was restored from a copy does.
+func (p *Platform) Restore() {
+	for i, all := range p.history {
+		p.history[i] = all[:max(1, len(all)-1)]
+	}
+}
+
 // PublishInventory increments the version of the site's inventory and publishes it.
 func (s *Site) PublishInventory() {
 	s.Inventory.Version++
