Do not count announcements of another era as news of the state

Found by reading the change: announcements of a reader that has not noticed a restore kept the state of a VM fresh, so that others could start with it. Only announcements of the own era do now (TestDSRAnnouncementOfOtherEraDoesNotRefreshState). The line announcement-outdated is written for earlier eras only; readers repeat changes, so it was frequent before.

--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -321,12 +321,14 @@
 
 // handleAnnouncement applies an announcement, and starts a read of the store when the announcement requires one.
 func (d *dsrDaemon) handleAnnouncement(now time.Duration, m *announce.Message) {
-	d.lastUpdate = now
 	at := d.replica.Position()
-	if m.Era < at.Era || m.Era == at.Era && len(m.Changes) > 0 && m.Revision < at.Revision {
+	switch {
+	case m.Era < at.Era:
 		d.counters.Add("announcements-outdated", 1)
 		d.log.Info("announcement-outdated", zap.String("source", m.From), zap.Uint64("era", m.Era),
 			zap.Uint64("revision", m.Revision), zap.Uint64("own-era", at.Era), zap.Uint64("own-revision", at.Revision))
+	case m.Era == at.Era:
+		d.lastUpdate = now
 	}
 	a := d.peers.group.Handle(now, m, at, d.engine.Registry.Version())
 	if a.NeedsState {
--- a/cmd/masticspard/dsr_test.go
+++ b/cmd/masticspard/dsr_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/masticspar/masticspar/internal/announce"
 	"github.com/masticspar/masticspar/internal/conntrack"
 	"github.com/masticspar/masticspar/internal/document"
 	"github.com/masticspar/masticspar/internal/dsr"
@@ -308,6 +309,28 @@
 	is.Equal(follower.counters.Counter("store-reads").Count()+follower.counters.Counter("store-watches").Count(), reads)
 }
 
+// Guards against a state of the lost history that counts as fresh, and starts another daemon, because a reader that has
+// not noticed a restore of the store continues to announce, or because the state of the announced era is still missing.
+func TestDSRAnnouncementOfOtherEraDoesNotRefreshState(t *testing.T) {
+	is := is.New(t)
+	s := newDSRSite(t, "i-1")
+	s.store.Restore(s.store.Backup())
+	set := s.settings("entry-1")
+	d, logs := s.start(set)
+	s.waitFor("ready", isReady(set))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, before := d.replica.Position(), d.lastUpdate
+	is.Equal(at.Era, uint64(1))
+	later := before + time.Hour
+	for era := range uint64(3) {
+		d.handleAnnouncement(later, &announce.Message{From: "entry-2", Era: era, Since: at.Revision, Revision: at.Revision})
+		is.Equal(d.lastUpdate == later, era == at.Era)
+		d.lastUpdate = before
+	}
+	is.Equal(logs.FilterMessage("announcement-outdated").Len(), 1)
+}
+
 // Guards against packets that are lost while a new daemon reads the store, and against a lost packet of a flow whose
 // server another entry VM received from the store earlier. Callers would retransmit them only after 200 ms or more.
 func TestDSRHoldsPacketsUntilRegistryUpdate(t *testing.T) {
