--- a/cmd/soak/check.go
+++ b/cmd/soak/check.go
@@ -50,7 +50,8 @@
 		idempotent: map[string]bool{}, runs: map[string]int{}, outcomes: map[caller.Outcome]int{},
 		quietOutcomes: map[caller.Outcome]int{}, entryDisturbedUntil: map[netip.Addr]time.Time{},
 		serverDisturbedUntil: map[string]time.Time{}, leavingSince: map[string]time.Time{},
-		routeAddedAt: map[netip.AddrPort]time.Time{}, routeRemovedAt: map[netip.AddrPort]time.Time{}, routeServices: map[netip.AddrPort]string{},
+		routeAddedAt: map[netip.AddrPort]time.Time{}, routeRemovedAt: map[netip.AddrPort]time.Time{},
+		routeServices: map[netip.AddrPort]string{},
 	}
 }
 
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -42,7 +42,7 @@
 	return 0
 }
 
-// Consistent reports whether the state is complete and its configuration is at least as new as Revision, so that
+// Consistent reports whether the state is complete and its configuration is at least as new as Position, so that
 // another process can adopt both.
 func (r *Replica) Consistent() bool {
 	r.mu.Lock()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -217,7 +217,7 @@
 	}
 }
 
-// CatchUp requests the changes since Revision as the next call, because they did not arrive from another process.
+// CatchUp requests the changes since Position as the next call, because they did not arrive from another process.
 func (r *Replica) CatchUp() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -395,7 +395,7 @@
 	return r.synced
 }
 
-// catchUp reads the changes since the current revision. A call that fails is repeated.
+// catchUp reads the changes since the current position. A call that fails is repeated.
 func (r *Replica) catchUp(ctx context.Context) time.Duration {
 	delay, err := r.readChanges(ctx, catchUpWait)
 	if err != nil {
@@ -409,7 +409,7 @@
 	return delay
 }
 
-// readChanges waits up to the given time for changes since the current revision and applies them. It returns the delay
+// readChanges waits up to the given time for changes since the current position and applies them. It returns the delay
 // before the next step.
 func (r *Replica) readChanges(ctx context.Context, wait time.Duration) (time.Duration, error) {
 	r.Counters.Add("store-watches", 1)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -114,7 +114,13 @@
 // follow starts a replica that has read revision 5.
 func (s *stubStore) follow(t *testing.T, c Config) *Replica {
 	t.Helper()
-	s.reads <- result{page: Page{Revision: 5}}
+	return s.followFrom(t, c, Page{Revision: 5})
+}
+
+// followFrom starts a replica that has read a page.
+func (s *stubStore) followFrom(t *testing.T, c Config, p Page) *Replica {
+	t.Helper()
+	s.reads <- result{page: p}
 	r, stop := New(c)
 	t.Cleanup(stop)
 	s.expect(t, "replace")
@@ -427,10 +433,7 @@
 	}
 	var restored []history.Position
 	c.Restored = func(before, at history.Position) { restored = append(restored, before, at) }
-	s.reads <- result{page: Page{Era: 1, Revision: 9}}
-	r, stop := New(c)
-	defer stop()
-	s.expect(t, "replace")
+	r := s.followFrom(t, c, Page{Era: 1, Revision: 9})
 	s.watches <- result{page: Page{Era: 2, Revision: 10, Changes: []registry.Change{{Name: "i-1", Revision: 10}}}}
 	s.reads <- result{page: Page{Era: 2, Revision: 7}}
 	s.expect(t, "replace during outage") // Missing entries may be written again.
@@ -447,10 +450,7 @@
 	is := is.New(t)
 	s := newStubStore()
 	c := s.config()
-	s.reads <- result{page: Page{Era: 2, Revision: 5}}
-	r, stop := New(c)
-	defer stop()
-	s.expect(t, "replace")
+	r := s.followFrom(t, c, Page{Era: 2, Revision: 5})
 	s.watches <- result{page: Page{Era: 1, Revision: 9, Changes: []registry.Change{{Name: "i-1", Revision: 9}}}}
 	s.expect(t, "lost")
 	s.watches <- result{page: Page{Era: 2, Revision: 6}}
@@ -488,10 +488,7 @@
 	c := s.config()
 	peer := make(chan result, 2)
 	c.ReadPeerState = func(ctx context.Context) (Page, error) { return receive(ctx, peer) }
-	s.reads <- result{page: Page{Era: 1, Revision: 9}}
-	r, stop := New(c)
-	defer stop()
-	s.expect(t, "replace")
+	r := s.followFrom(t, c, Page{Era: 1, Revision: 9})
 	expectRevision(t, r, 9)
 	r.Advance(history.Position{Era: 2, Revision: 20}) // Changes alone do not lead to the next era.
 	is.Equal(r.Position(), history.Position{Era: 1, Revision: 9})
@@ -513,10 +510,7 @@
 	c := s.config()
 	peer := make(chan result, 2)
 	c.ReadPeerState = func(ctx context.Context) (Page, error) { return receive(ctx, peer) }
-	s.reads <- result{page: Page{Era: 1, Revision: 9}}
-	r, stop := New(c)
-	defer stop()
-	s.expect(t, "replace")
+	r := s.followFrom(t, c, Page{Era: 1, Revision: 9})
 	expectRevision(t, r, 9)
 	peer <- result{err: ErrRefused}
 	s.reads <- result{page: Page{Era: 1, Revision: 10}}
