--- /dev/null
+++ b/review/harness/main.go
@@ -0,0 +1,40 @@
+// Command harness plays the scripts of the review: it starts masticspard processes between stand-ins of the platform
+// and checks one rule.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// Exit codes of a script.
+const (
+	held     = 0
+	broken   = 1
+	couldNot = 2
+)
+
+func main() {
+	cases := map[string]func(*site, bool) (bool, error){"silent-channels": silentChannels, "same-identifier": sameIdentifier}
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER")
+		os.Exit(couldNot)
+	}
+	s, err := newSite(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(couldNot)
+	}
+	ok, err := cases[os.Args[1]](s, os.Getenv("TROUBLE") != "0")
+	verdict, code := "held", held
+	switch {
+	case err != nil:
+		verdict, code = "could not run: "+err.Error(), couldNot
+	case !ok:
+		verdict, code = "broken", broken
+	}
+	s.record.printf("the rule: %s", verdict)
+	s.end()
+	fmt.Println(verdict)
+	os.Exit(code)
+}
