--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a script.
@@ -25,6 +27,15 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(couldNot)
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		for _, d := range s.allDaemons() {
+			d.kill()
+		}
+		os.Exit(couldNot)
+	}()
 	ok, err := cases[os.Args[1]](s, os.Getenv("TROUBLE") != "0")
 	verdict, code := "held", held
 	switch {
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -414,6 +414,12 @@
 	return nil
 }
 
+func (s *site) allDaemons() []*daemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*daemon(nil), s.daemons...)
+}
+
 // sleep waits and reports whether the site still runs.
 func (s *site) sleep(d time.Duration) bool {
 	select {
