Log why a server counts as replaced

The event and counter host-replaced give both starts with their start times and their positions in the store. No decision changes: the verdict is recorded after the later start is added instead of before.

--- a/cmd/masticspard/dsr_log.go
+++ b/cmd/masticspard/dsr_log.go
@@ -23,6 +23,16 @@
 		zap.Bool("replaced", l.Replaced))
 }
 
+// logReplaced counts and logs that a server counts as replaced, with the evidence about both starts.
+func (d *dsrDaemon) logReplaced(former, later *registry.Lifetime) {
+	d.counters.Add("host-replaced", 1)
+	d.log.Info("host-replaced", zap.String("host", former.Name), zap.Uint32("token", former.Token),
+		zap.Int64("started", former.Started), zap.Stringer("first-listed", former.First),
+		zap.Stringer("last-listed", former.Last), zap.Stringer("address", former.Address),
+		zap.String("by", later.Name), zap.Uint32("by-token", later.Token), zap.Int64("by-started", later.Started),
+		zap.Stringer("by-first-listed", later.First), zap.Stringer("by-last-listed", later.Last))
+}
+
 // logSuspicion counts and logs that a server became suspected or responds again.
 func (d *dsrDaemon) logSuspicion(now time.Duration, token uint32, suspected bool) {
 	event := "host-answers"
--- a/internal/history/position.go
+++ b/internal/history/position.go
@@ -1,6 +1,9 @@
 package history
 
-import "cmp"
+import (
+	"cmp"
+	"fmt"
+)
 
 // Position is a revision in one era of a store. The zero value precedes all others.
 type Position struct {
@@ -18,3 +21,6 @@
 // After reports whether the change at p was certainly made after the one at q. It returns false for a lower revision of
 // a later era, which can be from the copy that the store was restored from, or have been given out again.
 func (p Position) After(q Position) bool { return p.Era >= q.Era && p.Revision > q.Revision }
+
+// String returns the position in the form era/revision.
+func (p Position) String() string { return fmt.Sprintf("%d/%d", p.Era, p.Revision) }
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -39,7 +39,7 @@
 	}
 	for _, other := range []*Lifetime{r.names[l.Name], r.addresses[l.Address]} {
 		if other != nil && other.First.After(l.First) {
-			l.Replaced = true
+			r.markReplaced(l, other)
 		}
 	}
 	r.tokens[token] = l
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -142,8 +142,10 @@
 	// server may still run if it cannot reach the store.
 	Removed bool
 
-	listed bool             // whether it is in Registry.services
-	last   history.Position // of the last change that listed the lifetime
+	// Last is the position of the last change that listed the lifetime.
+	Last history.Position
+
+	listed bool // whether it is in Registry.services
 }
 
 // Registry is the current state of the registry. The zero value is empty and ready for use.
@@ -154,6 +156,8 @@
 	Retention time.Duration
 	// Changed is called after each change of the state of a lifetime, with the previous state; it may be nil.
 	Changed func(now time.Duration, l *Lifetime, before State)
+	// Replaced is called when a lifetime counts as replaced by a later one of its name or its address; it may be nil.
+	Replaced func(former, later *Lifetime)
 	// Forgotten is called when a retired lifetime and its token are removed; it may be nil.
 	Forgotten func(token uint32)
 
@@ -401,14 +405,17 @@
 	r.initMaps()
 	h := c.Host
 	l := r.names[h.Name]
-	if l != nil && l.Started != h.Started {
-		l.Replaced = l.Replaced || r.isAfter(c.position(), l.last)
-		r.setState(now, l, StateGone)
-	}
 	if l == nil || l.Started != h.Started {
+		former := l
 		l = r.add(now, h, r.first(c))
+		if former != nil {
+			if r.isAfter(c.position(), former.Last) {
+				r.markReplaced(former, l)
+			}
+			r.setState(now, former, StateGone)
+		}
 	}
-	l.last = c.position()
+	l.Last = c.position()
 	if c.Era > l.First.Era {
 		l.First = r.first(c)
 		if h.Sequence < l.Sequence { // The store was restored from a copy with an earlier report.
@@ -444,11 +451,11 @@
 // have been made, and an entry may have been created for an earlier start than the one that it lists.
 func (r *Registry) mayBeOutdated(c *Change) bool {
 	if l := r.names[c.Name]; l != nil && l.Started != c.Host.Started && l.State != StateGone && c.Era > l.First.Era &&
-		!r.isAfter(c.position(), l.last) {
+		!r.isAfter(c.position(), l.Last) {
 		return true
 	}
 	other, first := r.addresses[c.Host.Address], r.first(c)
-	if other == nil || other.Name == c.Name || other.State == StateGone || r.isAfter(first, other.last) ||
+	if other == nil || other.Name == c.Name || other.State == StateGone || r.isAfter(first, other.Last) ||
 		r.isAfter(other.First, c.position()) {
 		return false
 	}
@@ -529,14 +536,14 @@
 		return true
 	}
 	owner, loser := l, other
-	if r.isAfter(other.First, l.last) || other.State != StateGone && r.isAfter(other.First, l.First) {
+	if r.isAfter(other.First, l.Last) || other.State != StateGone && r.isAfter(other.First, l.First) {
 		owner, loser = other, l
 	}
 	r.addresses[l.Address] = owner
-	if owner.First == loser.First || r.isAfter(owner.First, loser.last) {
-		loser.Replaced = true
+	if owner.First == loser.First || r.isAfter(owner.First, loser.Last) {
+		r.markReplaced(loser, owner)
 	} else if !loser.Replaced && (loser == l || loser.State != StateGone) {
-		h, at := loser.Host, loser.last
+		h, at := loser.Host, loser.Last
 		c := Change{Name: h.Name, Era: at.Era, Revision: at.Revision, Created: loser.First.Revision, Host: &h}
 		r.deferHost(now, &c)
 	}
@@ -544,6 +551,17 @@
 	return owner == l
 }
 
+// markReplaced records that the server of a lifetime has certainly ended, because a later one has its name or its address.
+func (r *Registry) markReplaced(former, later *Lifetime) {
+	if former.Replaced {
+		return
+	}
+	former.Replaced = true
+	if r.Replaced != nil {
+		r.Replaced(former, later)
+	}
+}
+
 // setState sets the state of l and reports whether it changed. A replaced lifetime can only become gone.
 func (r *Registry) setState(now time.Duration, l *Lifetime, s State) bool {
 	before := l.State
