Remove a deferred server whose entry is removed

The removal was taken for a second one of an entry that had already been removed.

A removal of a deferred server ends its lapse.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -255,6 +255,7 @@
 	}
 	r.positions[c.Name] = c.position()
 	delete(r.unassigned, c.Name)
+	_, wasDeferred := r.deferred[c.Name]
 	delete(r.deferred, c.Name)
 	if c.Host != nil && !r.usableService(c.Host.Service) {
 		// An entry of an unknown service must not claim the address of a server in use, whoever wrote it.
@@ -282,7 +283,7 @@
 	if c.Fault == "" && storeDown && l.State == StateReady {
 		return r.setState(now, l, StateLapsed)
 	}
-	if l.State == StateLapsed {
+	if l.State == StateLapsed && !wasDeferred {
 		return false // Sweep ends the grace period.
 	}
 	l.Removed = c.Fault == "" && !storeDown
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -183,6 +183,18 @@
 	is.Equal(r.Hosts("standdesk")[0].Started, int64(3))
 }
 
+// Guards against new flows to a server whose entry was removed while it was deferred.
+func TestRemovalEndsLapseOfDeferredServer(t *testing.T) {
+	is := is.New(t)
+	var r Registry
+	r.Apply(0, listed(host("i-1", 1, addressA), 1), false)
+	r.Apply(0, listed(host("i-2", 1, addressB), 2), false)
+	r.Apply(0, Change{Name: "i-1", Revision: 3}, true)
+	r.Apply(0, Change{Name: "i-1", Revision: 4, Created: 1, Host: host("i-1", 1, addressB)}, false)
+	r.Apply(0, Change{Name: "i-1", Revision: 5}, false)
+	is.Equal(names(&r), []string{"i-2"})
+}
+
 // Guards against losing all servers when their entries are removed while the store is unavailable.
 func TestLapsedServerServesDuringGracePeriod(t *testing.T) {
 	is := is.New(t)
