Order reports of servers by start time and sequence, not by when they were written

Cause: the order of writes in the store was taken for the order in which servers started. In the same way an earlier report of a leaving server made it ready again (DRAIN).

Ruled out: removed or silent servers (all resets were host-replaced), packets to other servers, restarts of entry VMs as a condition (a first report that is late misleads all of them).

Change: the later of two starts is the one with the later start time; reports of one start are ordered by their sequence, and leaving is final. A server counts as replaced only if start times and store positions agree, and no longer than until it is listed without contradiction.

Two tests contradicted this and are replaced. TestLaterEntryOwnsSharedAddress demanded that the entry that was created later gets the address: with late reports that is the dead server. TestLaterStartOwnsSharedAddress checks both orders, that neither counts as replaced, and that the other one is used when the first is removed. TestRestartWithEarlierClock demanded that an earlier start replaces a later one at once, which a late report imitates; it now checks that the name gets flows all the time and that neither start counts as replaced, and that the earlier one is used after the deferral. TestRandomChangesKeepInvariants allows a later start to be hidden for the grace period and checks, in addition, that no server that is listed as leaving gets flows. TestRetiredServerCanBeListed gave two servers the same start time.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -15,8 +15,8 @@
 // again after an outage of the store.
 const DefaultGracePeriod = 2200 * time.Millisecond
 
-// deferPeriod is how long a listed server is deferred at most. It is longer than the store takes to remove the entry of a
-// server that has ended.
+// deferPeriod is how long a listed server is deferred at most because of a later start of its name. It is longer than the
+// store takes to remove the entry of a server that has ended, and than a server takes to write its entry again.
 const deferPeriod = 5 * time.Second
 
 // DefaultRetention is how long a lifetime is kept after it is gone.
@@ -133,10 +133,10 @@
 	FirstSeen time.Duration
 	// ColdUntil is the time until which the server is slow after its start.
 	ColdUntil time.Duration
-	// First is the position at which the lifetime was first listed, in the latest era in which it was listed. If two
-	// lifetimes have the same address, it belongs to the one that was listed later.
+	// First is the position at which the lifetime was first listed, in the latest era in which it was listed.
 	First history.Position
-	// Replaced reports whether the server has certainly ended, because a newer lifetime has its name or its address.
+	// Replaced reports whether the server has certainly ended, because a later lifetime has its name or its address. It is
+	// reset if the server is listed after that one is gone.
 	Replaced bool
 	// Removed reports whether the entry was removed while the store was available, and has not been listed again. The
 	// server may still run if it cannot reach the store.
@@ -169,7 +169,7 @@
 	services   map[string][]*Lifetime       // lifetimes that receive new flows, by service
 	positions  map[string]history.Position  // position of the last change of each name
 	unassigned map[string]Change            // listed servers whose service is not in the configuration
-	deferred   map[string]deferredChange    // listed servers that may be from an outdated copy, see mayBeOutdated
+	deferred   map[string]deferredChange    // listed servers that have a rival, by name
 	base       history.Position             // of the first full read in its era; later changes are not from a copy
 	retired    map[*Lifetime]struct{}       // lapsed and gone lifetimes, which Sweep checks
 }
@@ -255,8 +255,6 @@
 	}
 	r.positions[c.Name] = c.position()
 	delete(r.unassigned, c.Name)
-	_, wasDeferred := r.deferred[c.Name]
-	delete(r.deferred, c.Name)
 	if c.Host != nil && !r.usableService(c.Host.Service) {
 		// An entry of an unknown service must not claim the address of a server in use, whoever wrote it.
 		if r.unassigned == nil {
@@ -266,13 +264,18 @@
 		c.Host, c.Fault = nil, FaultUnknownService
 	}
 	if c.Host != nil {
-		apply := r.applyHost
-		if r.mayBeOutdated(&c) {
-			apply = r.deferHost
+		r.initMaps()
+		var changed bool
+		if rival := r.rival(&c); rival != nil {
+			changed = r.deferHost(now, &c, rival)
+		} else {
+			delete(r.deferred, c.Name)
+			changed = r.applyHost(now, &c)
 		}
-		changed := apply(now, &c)
 		return r.applyDeferred(now) || changed
 	}
+	_, wasDeferred := r.deferred[c.Name]
+	delete(r.deferred, c.Name)
 	l := r.names[c.Name]
 	if l == nil {
 		if c.Fault == "" {
@@ -287,7 +290,8 @@
 		return false // Sweep ends the grace period.
 	}
 	l.Removed = c.Fault == "" && !storeDown
-	return r.setState(now, l, StateGone)
+	changed := r.setState(now, l, StateGone)
+	return r.applyDeferred(now) || changed
 }
 
 // Replace applies a full read of the servers at a position. Servers that are not in changes are treated as removed, as
@@ -402,37 +406,25 @@
 	return true
 }
 
+// applyHost lists a server that no other lifetime keeps from being used, see rival.
 func (r *Registry) applyHost(now time.Duration, c *Change) bool {
-	r.initMaps()
 	h := c.Host
-	l := r.names[h.Name]
-	if l == nil || l.Started != h.Started {
-		former := l
-		l = r.add(now, h, r.first(c))
-		if former != nil {
-			if r.isAfter(c.position(), former.Last) {
-				r.markReplaced(former, l)
-			}
-			r.setState(now, former, StateGone)
-		}
-	}
-	l.Last = c.position()
+	l := r.add(now, c)
+	r.setCurrent(now, l)
 	if c.Era > l.First.Era {
 		l.First = r.first(c)
-		if h.Sequence < l.Sequence { // The store was restored from a copy with an earlier report.
-			return l.State == StateLapsed && r.setState(now, l, StateReady)
-		}
 	}
+	l.Last = c.position()
 	moved := l.Address != h.Address || l.Service != h.Service
 	if moved {
 		r.unlist(l)
 		r.releaseAddress(l)
 	}
-	l.Host, l.Removed = *h, false
+	sequence := max(l.Sequence, h.Sequence)
+	l.Host, l.Removed, l.Replaced = *h, false, false
+	l.Sequence = sequence
 	l.ColdUntil = now + h.Cold
-	if !r.claimAddress(now, l) {
-		return true
-	}
+	r.claimAddress(now, l)
 	state := StateReady
 	if h.Leaving {
 		state = StateLeaving
@@ -447,41 +439,82 @@
 	return p.After(q) || p.Era > q.Era && p.Era == r.base.Era && p.Revision > r.base.Revision
 }
 
-// mayBeOutdated reports whether a listed server contradicts another one, and may be the earlier of both: its name has
-// another start, or its address another server. Before the store was restored, later changes than the listed ones may
-// have been made, and an entry may have been created for an earlier start than the one that it lists.
-func (r *Registry) mayBeOutdated(c *Change) bool {
-	if l := r.names[c.Name]; l != nil && l.Started != c.Host.Started && l.State != StateGone && c.Era > l.First.Era &&
-		!r.isAfter(c.position(), l.Last) {
-		return true
+// follows reports whether l certainly started after the server of other had ended, if both have the same name or address.
+// The order in the store alone does not tell, because a report may be written after that of a later start. The start times
+// alone do not tell either, because the clock of a server may have been set back.
+func (r *Registry) follows(l, other *Lifetime) bool {
+	return l.Started > other.Started && r.isAfter(l.First, other.Last)
+}
+
+// rival returns the lifetime that keeps a listed server from being used, because both have the same name or address and
+// the listed report may be an outdated one that was written late or is from an outdated copy of the store. It returns
+// nil if there is none.
+func (r *Registry) rival(c *Change) *Lifetime {
+	h := c.Host
+	if l := r.names[h.Name]; l != nil {
+		switch {
+		case l.Started > h.Started:
+			return l
+		case l.Started == h.Started && l.Sequence > h.Sequence && !h.Leaving && (l.State != StateGone || l.Leaving):
+			return l // Leaving is final for a start, so a report of it applies in any order.
+		}
 	}
-	other, first := r.addresses[c.Host.Address], r.first(c)
-	if other == nil || other.Name == c.Name || other.State == StateGone || r.isAfter(first, other.Last) ||
-		r.isAfter(other.First, c.position()) {
-		return false
+	other := r.addresses[h.Address]
+	if other != nil && other.Name != h.Name && other.State != StateGone && other.Started >= h.Started {
+		return other
 	}
-	return c.Era > other.First.Era || other.First.After(first)
+	return nil
 }
 
-// deferHost keeps a listed server that may be outdated, until the server that it contradicts is gone or is listed as
-// well. The one that has its name is not listed any longer, so it lapses.
-func (r *Registry) deferHost(now time.Duration, c *Change) bool {
+// deferHost keeps a listed server that has a rival. Packets of its flows are forwarded meanwhile.
+func (r *Registry) deferHost(now time.Duration, c *Change, rival *Lifetime) bool {
 	if r.deferred == nil {
 		r.deferred = map[string]deferredChange{}
 	}
-	r.deferred[c.Name] = deferredChange{*c, now}
-	l := r.names[c.Name]
-	return l != nil && l.Started != c.Host.Started && l.State == StateReady && r.setState(now, l, StateLapsed)
+	since := now
+	if d, ok := r.deferred[c.Name]; ok {
+		since = d.since
+	}
+	r.deferred[c.Name] = deferredChange{*c, since}
+	l := r.add(now, c)
+	if l.State == StateGone && c.Host.Sequence >= l.Sequence {
+		r.releaseAddress(l)
+		l.Host = *c.Host
+	}
+	if current := r.names[c.Name]; current == nil || current.Started < l.Started {
+		r.setCurrent(now, l)
+	}
+	current := r.names[c.Name]
+	switch {
+	case current.State != StateReady && current.State != StateLapsed:
+		return false
+	case c.Host.Leaving:
+		return r.setState(now, current, StateLeaving) // The server of this name leaves, whichever start it is.
+	case rival == l:
+		return r.setState(now, l, StateReady) // It is listed again.
+	case rival == current && current.State == StateReady:
+		return r.setState(now, current, StateLapsed) // Its next report lists it again.
+	}
+	return false
 }
 
-// applyDeferred applies the deferred servers that are not outdated and reports whether one changed the registry.
+// applyDeferred applies the deferred servers that have no rival any longer and reports whether one changed the registry.
 func (r *Registry) applyDeferred(now time.Duration) bool {
 	changed := false
 	for name, d := range r.deferred {
-		if now-d.since >= deferPeriod || !r.mayBeOutdated(&d.Change) {
-			delete(r.deferred, name)
-			changed = r.applyHost(now, &d.Change) || changed
+		if rival := r.rival(&d.Change); rival != nil {
+			l := r.add(now, &d.Change)
+			if l.State == StateGone && r.follows(rival, l) {
+				r.markReplaced(l, rival)
+			}
+			// An outdated entry would have been written again or removed by now, unless a clock was set back.
+			settled := rival.Name == name && now-d.since >= deferPeriod
+			if !settled || l.Leaving && !d.Host.Leaving && l.Sequence > d.Host.Sequence {
+				continue
+			}
 		}
+		delete(r.deferred, name)
+		changed = r.applyHost(now, &d.Change) || changed
 	}
 	return changed
 }
@@ -508,48 +541,59 @@
 	}
 }
 
-// add creates a lifetime, or returns the one that AddRetired has created. If two lifetimes have the same token, the
-// first keeps it and the other receives no flows.
-func (r *Registry) add(now time.Duration, h *Host, first history.Position) *Lifetime {
-	if l := r.tokens[NewToken(h.Name, h.Started)]; l != nil && l.Name == h.Name && l.Started == h.Started {
-		r.names[h.Name] = l
-		return l
+// add creates the lifetime of a listed server in StateGone, or returns the one that has been created before. If two
+// lifetimes have the same token, the first keeps it and the other receives no flows.
+func (r *Registry) add(now time.Duration, c *Change) *Lifetime {
+	h := c.Host
+	token := NewToken(h.Name, h.Started)
+	for _, l := range []*Lifetime{r.tokens[token], r.names[h.Name]} {
+		if l != nil && l.Name == h.Name && l.Started == h.Started {
+			return l
+		}
 	}
 	l := &Lifetime{
-		Host: *h, Token: NewToken(h.Name, h.Started), State: StateGone, Since: now, FirstSeen: now, First: first,
+		Host: *h, Token: token, State: StateGone, Since: now, FirstSeen: now, First: r.first(c), Last: c.position(),
 	}
 	if r.tokens[l.Token] != nil {
 		l.Token = 0
 	} else {
 		r.tokens[l.Token] = l
 	}
-	r.names[h.Name] = l
 	r.retired[l] = struct{}{}
 	return l
 }
 
-// claimAddress assigns the address of l to the lifetime that was listed with it last, and reports whether this is l. The
-// other lifetime is replaced if it was certainly listed earlier. Otherwise it is listed again when the address is free.
-func (r *Registry) claimAddress(now time.Duration, l *Lifetime) bool {
+// setCurrent makes l the current lifetime of its name.
+func (r *Registry) setCurrent(now time.Duration, l *Lifetime) {
+	former := r.names[l.Name]
+	r.names[l.Name] = l
+	if former == nil || former == l {
+		return
+	}
+	if r.follows(l, former) {
+		r.markReplaced(former, l)
+	}
+	r.setState(now, former, StateGone)
+}
+
+// claimAddress assigns the address of l to l. Another server that is listed with the address is deferred.
+func (r *Registry) claimAddress(now time.Duration, l *Lifetime) {
 	other := r.addresses[l.Address]
+	r.addresses[l.Address] = l
 	if other == nil || other == l {
-		r.addresses[l.Address] = l
-		return true
-	}
-	owner, loser := l, other
-	if r.isAfter(other.First, l.Last) || other.State != StateGone && r.isAfter(other.First, l.First) {
-		owner, loser = other, l
-	}
-	r.addresses[l.Address] = owner
-	if owner.First == loser.First || r.isAfter(owner.First, loser.Last) {
-		r.markReplaced(loser, owner)
-	} else if !loser.Replaced && (loser == l || loser.State != StateGone) {
-		h, at := loser.Host, loser.Last
-		c := Change{Name: h.Name, Era: at.Era, Revision: at.Revision, Created: loser.First.Revision, Host: &h}
-		r.deferHost(now, &c)
-	}
-	r.setState(now, loser, StateGone)
-	return owner == l
+		return
+	}
+	if r.follows(l, other) {
+		r.markReplaced(other, l)
+	}
+	_, deferred := r.deferred[other.Name] // Its entry is of an outdated report, which stays deferred.
+	if !deferred && (other.State == StateReady || other.State == StateLeaving) {
+		h := other.Host
+		r.deferHost(now, &Change{
+			Name: h.Name, Era: other.Last.Era, Revision: other.Last.Revision, Created: other.First.Revision, Host: &h,
+		}, l)
+	}
+	r.setState(now, other, StateGone)
 }
 
 // markReplaced records that the server of a lifetime has certainly ended, because a later one has its name or its address.
