Judge servers that are learned by lookup by their start times as well

TestLookupDoesNotReplaceLaterStart and TestRetiredServerIsNotReplacedByEarlierListing failed before; the second is about servers whose last position was unknown, so that the start times alone decided.

--- a/internal/registry/late_test.go
+++ b/internal/registry/late_test.go
@@ -129,6 +129,40 @@
 	is.Equal(names(&r), []string{"i-1"})
 }
 
+// Guards against resetting the flows of a live server that an entry VM learns from another one, because a late report of
+// the former server is all that it has read.
+func TestLookupDoesNotReplaceLaterStart(t *testing.T) {
+	for _, formerName := range []string{"i-1", "i-2"} {
+		is := is.New(t)
+		former, present := host(formerName, 1000, addressA), host("i-2", 2000, addressA)
+		var r, fresh Registry
+		r.Apply(0, listed(former, 1), false)
+		r.Apply(0, Change{Name: formerName, Revision: 2}, false)
+		r.Apply(0, listed(present, 3), false)
+		r.Apply(0, Change{Name: "i-2", Revision: 4}, false) // Its own reports are late.
+		r.Apply(0, listed(former, 5), false)
+		fresh.Replace(0, []Change{listed(former, 5)}, history.Position{Revision: 5}, false)
+		record, ok := r.Record(NewToken("i-2", 2000))
+		is.True(ok)
+		is.True(!record.Replaced)
+		is.True(fresh.AddRetired(time.Second, &record))
+		is.True(!fresh.Lifetime(NewToken("i-2", 2000)).Replaced)
+	}
+}
+
+// Guards against resetting the flows of a server that was learned from another entry VM, because another server whose
+// clock was ahead was listed before it.
+func TestRetiredServerIsNotReplacedByEarlierListing(t *testing.T) {
+	is := is.New(t)
+	var r Registry
+	live, dead := host("i-2", 2000, addressA), host("i-1", 3000, addressA)
+	r.AddRetired(0, &Record{Host: *live, First: history.Position{Revision: 5}})
+	r.Apply(0, listed(dead, 1), false)
+	is.True(!r.Lifetime(NewToken("i-2", 2000)).Replaced)
+	r.Apply(0, listed(live, 5), false)
+	is.True(!r.Lifetime(NewToken("i-2", 2000)).Replaced)
+}
+
 // lateStore is a store that executes some reports late, with the backend servers that report to it.
 type lateStore struct {
 	now       time.Duration
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -35,10 +35,10 @@
 	}
 	l := &Lifetime{
 		Host: record.Host, Token: token, State: StateGone, Since: now, FirstSeen: now, First: record.First,
-		Replaced: record.Replaced,
+		Last: record.First, Replaced: record.Replaced,
 	}
 	for _, other := range []*Lifetime{r.names[l.Name], r.addresses[l.Address]} {
-		if other != nil && other.First.After(l.First) {
+		if other != nil && r.follows(other, l) {
 			r.markReplaced(l, other)
 		}
 	}
