--- a/cmd/masticspard/dsr.go
+++ b/cmd/masticspard/dsr.go
@@ -81,7 +81,7 @@
 		AvailabilityZone: d.settings.AvailabilityZone, HashOnly: d.settings.Placement == dsrsettings.PlacementHash,
 		SuspicionChanged: d.logSuspicion,
 	}
-	e.Registry.Changed, e.Registry.Replaced = d.logHostState, d.logReplaced
+	e.Registry.Changed, e.Registry.OnReplaced = d.logHostState, d.logReplaced
 	e.Registry.Retention = time.Duration(d.settings.FlowLifetime) + time.Duration(d.settings.SettleTime)
 	e.Start()
 	// Start has set Observe; the daemon counts each event before it passes the event on.
--- a/internal/registry/doc.go
+++ b/internal/registry/doc.go
@@ -10,7 +10,7 @@
 // the reports orders them; a later start is the one with the later start time. A listed server that contradicts a later
 // one is deferred: its entry is removed or written again if it is outdated. A lifetime counts as replaced, so that its flows
 // are reset, only if both the start times and the positions in the store show that a later one has its name or address,
-// and only until it is listed without contradiction.
+// and only until it is listed without contradiction. Both are wrong only if a clock was ahead and a report was late.
 //
 // An entry can lapse while the store is unavailable although the server is running. A lapsed lifetime receives new
 // flows for a grace period, in which the server can be listed again, and is gone after that.
--- a/internal/registry/late_test.go
+++ b/internal/registry/late_test.go
@@ -163,15 +163,102 @@
 	is.True(!r.Lifetime(NewToken("i-2", 2000)).Replaced)
 }
 
+// Guards against a snapshot that lists a leaving server as ready, or lacks a server that is deferred.
+func TestSnapshotHasDeferredReports(t *testing.T) {
+	for _, leaving := range []bool{true, false} {
+		is := is.New(t)
+		var r, fresh Registry
+		former, live := host("i-1", 5000, addressA), host("i-1", 3000, addressA) // The clock was set back.
+		former.Leaving, former.Sequence = !leaving, 4
+		live.Leaving, live.Sequence = leaving, 1
+		r.Apply(0, listed(former, 1), false)
+		r.Apply(0, Change{Name: "i-1", Host: live, Revision: 2, Created: 1}, false)
+		is.Equal(names(&r), []string{})
+		fresh.Replace(0, r.Changes(), history.Position{Revision: 2}, true)
+		is.Equal(names(&fresh), []string{})
+		fresh.Sweep(deferPeriod)
+		is.Equal(len(names(&fresh)) == 1, !leaving)
+	}
+}
+
+// Guards against resetting the flows of a leaving server because its entry was removed, although it is listed again.
+func TestDeferredServerIsNotRemoved(t *testing.T) {
+	is := is.New(t)
+	var r Registry
+	h := host("i-1", 1000, addressA)
+	h.Leaving, h.Sequence = true, 7
+	r.Apply(0, listed(h, 2), false)
+	r.Apply(0, Change{Name: "i-1", Revision: 3}, false)
+	late := *h
+	late.Leaving, late.Sequence = false, 6
+	r.Apply(0, listed(&late, 4), false)
+	is.True(!r.Lifetime(NewToken("i-1", 1000)).Removed)
+	is.Equal(names(&r), []string{})
+}
+
+// Guards against losing a server whose entry is removed during an outage of the store, after a late report of its former
+// start.
+func TestDeferredServerLapsesDuringOutage(t *testing.T) {
+	is := is.New(t)
+	var r Registry
+	for i, started := range []int64{1000, 2000, 1000} {
+		c := Change{Name: "i-1", Host: host("i-1", started, addressA), Revision: uint64(i + 1), Created: 1}
+		r.Apply(0, c, false)
+	}
+	r.Apply(time.Second, Change{Name: "i-1", Revision: 4}, true)
+	is.Equal(names(&r), []string{"i-1"})
+}
+
+// Guards against a deferred server whose changes are applied in the wrong order, because it was forgotten.
+func TestDeferredServerIsNotForgotten(t *testing.T) {
+	is := is.New(t)
+	var r Registry
+	r.Apply(0, listed(host("i-1", 3000, addressA), 1), false)
+	r.Apply(0, listed(host("i-2", 2000, addressA), 3), false)
+	r.Sweep(2 * DefaultRetention)
+	r.Apply(0, listed(host("i-2", 2000, addressB), 2), false) // a delayed reply
+	is.Equal(names(&r), []string{"i-1"})
+	r.Replace(0, nil, history.Position{Revision: 4}, false)
+	r.Sweep(4 * DefaultRetention)
+	is.Equal(len(r.names)+len(r.tokens)+len(r.positions)+len(r.addresses)+len(r.retired)+len(r.deferred), 0)
+}
+
+// Guards against memory that grows while a server without a token is deferred.
+func TestDeferredServerWithoutTokenIsAddedOnce(t *testing.T) {
+	is := is.New(t)
+	var r Registry
+	r.Apply(0, listed(host("i-1", 2000, addressA), 1), false)
+	r.Apply(0, listed(host("i-2", 1, addressB), 2), false)
+	r.tokens[NewToken("i-1", 1000)] = r.names["i-2"] // Simulates a token collision.
+	r.Apply(0, listed(host("i-1", 1000, addressA), 3), false)
+	for range 10 {
+		r.Sweep(time.Second)
+	}
+	is.Equal(len(r.retired), 2) // The lapsed start and the deferred one.
+}
+
+// Guards against entry VMs that use different ones of two servers whose start times do not order them.
+func TestDeferredServersAreOrdered(t *testing.T) {
+	for range 50 {
+		is := is.New(t)
+		var r Registry
+		for i, started := range []int64{9, 5, 5} {
+			r.Apply(0, listed(host(fmt.Sprint("i-", i), started, addressA), uint64(i+1)), false)
+		}
+		r.Apply(0, Change{Name: "i-0", Revision: 4}, false)
+		is.Equal(names(&r), []string{"i-1"})
+	}
+}
+
 // lateStore is a store that executes some reports late, with the backend servers that report to it.
 type lateStore struct {
-	now       time.Duration
-	revision  uint64
-	entries   map[string]Change
-	writtenAt map[string]time.Duration
-	running   map[string]*Host
-	late      []*Host // reports that are not executed yet
-	deliver   func(Change)
+	now           time.Duration
+	era, revision uint64
+	entries       map[string]Change
+	writtenAt     map[string]time.Duration
+	running       map[string]*Host
+	late          []*Host // reports that are not executed yet
+	deliver       func(Change)
 }
 
 const (
@@ -208,7 +295,7 @@
 		c.Created = old.Created
 	}
 	m.entries[h.Name] = c
-	m.deliver(c)
+	m.deliver(in(m.era, c))
 }
 
 // expire removes the entries without a recent report.
@@ -217,120 +304,201 @@
 		if m.now-m.writtenAt[name] >= entryTimeout {
 			delete(m.entries, name)
 			m.revision++
-			m.deliver(Change{Name: name, Revision: m.revision})
+			m.deliver(Change{Name: name, Era: m.era, Revision: m.revision})
 		}
 	}
 }
 
-// Guards against any order of starts, drains, crashes, reused addresses, late reports and restarts of the entry VM after
-// which the registry differs from the servers that run, and against resetting flows of one of them meanwhile.
-func TestRegistryConvergesAfterLateReports(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		r := &Registry{}
-		m := &lateStore{
-			entries: map[string]Change{}, writtenAt: map[string]time.Duration{}, running: map[string]*Host{},
-		}
-		known := map[uint32]bool{} // tokens of starts that this entry VM has seen leaving
-		m.deliver = func(c Change) {
+// list returns all entries in the order of their names.
+func (m *lateStore) list() []Change {
+	var list []Change
+	for _, name := range slices.Sorted(maps.Keys(m.entries)) {
+		list = append(list, in(m.era, m.entries[name]))
+	}
+	return list
+}
+
+func (m *lateStore) position() history.Position {
+	return history.Position{Era: m.era, Revision: m.revision}
+}
+
+// Guards against any order of starts, drains, crashes, reused addresses, late reports, restores, lookups, and starts of an
+// entry VM from the store or from another one, after which a registry differs from the servers that run, and against
+// resetting flows of one of them, or sending new flows to one that leaves, meanwhile.
+func TestRegistriesConvergeAfterLateReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { testLateReports(t, false) })
+}
+
+// Guards against clocks that are set back, together with late reports, after which a registry differs from the servers
+// that run.
+func TestRegistriesConvergeAfterClockSteps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { testLateReports(t, true) })
+}
+
+func testLateReports(t *rapid.T, clockSteps bool) {
+	vms := []*Registry{{}, {}}
+	left := []map[uint32]bool{{}, {}} // tokens of the starts that an entry VM, or the source of its snapshot, has seen leaving
+	starts := map[int64]bool{}
+	m := &lateStore{
+		era: 1, entries: map[string]Change{}, writtenAt: map[string]time.Duration{}, running: map[string]*Host{},
+	}
+	m.deliver = func(c Change) {
+		for i, r := range vms {
 			if c.Host != nil && c.Host.Leaving {
-				known[NewToken(c.Name, c.Host.Started)] = true
+				left[i][NewToken(c.Name, c.Host.Started)] = true
 			}
 			r.Apply(m.now, c, false)
 		}
-		pass := func(t *rapid.T, d time.Duration, mayBeLate bool) {
-			for end := m.now + d; m.now < end; {
-				m.now += reportPeriod / 2
-				for _, name := range slices.Sorted(maps.Keys(m.running)) {
-					m.report(name, mayBeLate && rapid.IntRange(0, 2).Draw(t, "late") == 0)
-				}
-				m.expire()
+	}
+	pass := func(t *rapid.T, d time.Duration, mayBeLate bool) {
+		for end := m.now + d; m.now < end; {
+			m.now += reportPeriod / 2
+			for _, name := range slices.Sorted(maps.Keys(m.running)) {
+				m.report(name, mayBeLate && rapid.IntRange(0, 2).Draw(t, "late") == 0)
+			}
+			m.expire()
+			for _, r := range vms {
 				r.Sweep(m.now)
 			}
 		}
-		t.Repeat(map[string]func(*rapid.T){
-			"start": func(t *rapid.T) {
-				address := rapid.ByteRange(1, 3).Draw(t, "address")
-				name := fmt.Sprint("i-", address, rapid.IntRange(0, 2).Draw(t, "name"))
-				a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, address}), 80)
-				for _, h := range m.running {
-					if h.Address == a {
-						t.Skip("the address is in use")
-					}
+	}
+	copied, copiedAt := map[string]Change{}, uint64(0)
+	t.Repeat(map[string]func(*rapid.T){
+		"start": func(t *rapid.T) {
+			address := rapid.ByteRange(1, 2).Draw(t, "address")
+			name := fmt.Sprintf("i-%d%d", address, rapid.IntRange(0, 1).Draw(t, "name"))
+			a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, address}), 80)
+			for _, h := range m.running {
+				if h.Address == a {
+					t.Skip("the address is in use")
 				}
-				m.now += time.Millisecond
-				m.running[name] = host(name, m.now.Milliseconds(), a)
-				m.report(name, rapid.Bool().Draw(t, "late"))
-			},
-			"drain": func(t *rapid.T) {
-				for _, name := range slices.Sorted(maps.Keys(m.running)) {
-					if rapid.Bool().Draw(t, "drains") {
-						m.running[name].Leaving = true
-						m.report(name, false)
-					}
+			}
+			m.now += time.Millisecond
+			started := m.now.Milliseconds() + 1_000_000
+			if clockSteps {
+				started -= int64(rapid.IntRange(0, 10_000).Draw(t, "step"))
+			}
+			if starts[started] {
+				t.Skip("the start time was used before")
+			}
+			starts[started] = true
+			m.running[name] = host(name, started, a)
+			m.report(name, rapid.Bool().Draw(t, "late"))
+		},
+		"drain": func(t *rapid.T) {
+			for _, name := range slices.Sorted(maps.Keys(m.running)) {
+				if rapid.Bool().Draw(t, "drains") {
+					m.running[name].Leaving = true
+					m.report(name, false)
 				}
-			},
-			"crash": func(t *rapid.T) {
-				for _, name := range slices.Sorted(maps.Keys(m.running)) {
-					if rapid.Bool().Draw(t, "crashes") {
-						delete(m.running, name)
-					}
+			}
+		},
+		"crash": func(t *rapid.T) {
+			for _, name := range slices.Sorted(maps.Keys(m.running)) {
+				if rapid.Bool().Draw(t, "crashes") {
+					delete(m.running, name)
 				}
-			},
-			"execute": func(t *rapid.T) {
-				if len(m.late) == 0 {
-					t.Skip("no late report")
+			}
+		},
+		"execute": func(t *rapid.T) {
+			if len(m.late) == 0 {
+				t.Skip("no late report")
+			}
+			i := rapid.IntRange(0, len(m.late)-1).Draw(t, "report")
+			h := m.late[i]
+			m.late = slices.Delete(m.late, i, i+1)
+			m.execute(h)
+		},
+		"wait": func(t *rapid.T) {
+			pass(t, time.Duration(rapid.IntRange(1, 6).Draw(t, "periods"))*reportPeriod/2, true)
+		},
+		"start entry VM": func(*rapid.T) {
+			vms[0], left[0] = &Registry{}, map[uint32]bool{}
+			vms[0].Replace(m.now, m.list(), m.position(), false)
+		},
+		"start entry VM from snapshot": func(*rapid.T) {
+			vms[0], left[0] = &Registry{}, map[uint32]bool{}
+			vms[0].Replace(m.now, vms[1].Changes(), m.position(), true)
+			for token := range left[1] {
+				if l := vms[1].Lifetime(token); l != nil && l.State == StateLeaving {
+					left[0][token] = true
 				}
-				i := rapid.IntRange(0, len(m.late)-1).Draw(t, "report")
-				h := m.late[i]
-				m.late = slices.Delete(m.late, i, i+1)
-				m.execute(h)
-			},
-			"wait": func(t *rapid.T) {
-				pass(t, time.Duration(rapid.IntRange(1, 6).Draw(t, "periods"))*reportPeriod/2, true)
-			},
-			"restart": func(*rapid.T) {
-				r, known = &Registry{}, map[uint32]bool{}
-				var list []Change
-				for _, name := range slices.Sorted(maps.Keys(m.entries)) {
-					list = append(list, m.entries[name])
-					known[NewToken(name, m.entries[name].Host.Started)] = m.entries[name].Host.Leaving
+			}
+		},
+		"read again": func(*rapid.T) { vms[1].Replace(m.now, m.list(), m.position(), false) },
+		"lookup": func(*rapid.T) {
+			for _, name := range slices.Sorted(maps.Keys(m.running)) {
+				token := NewToken(name, m.running[name].Started)
+				if record, ok := vms[1].Record(token); ok && vms[0].Lifetime(token) == nil {
+					vms[0].AddRetired(m.now, &record)
 				}
-				r.Replace(m.now, list, history.Position{Revision: m.revision}, false)
-			},
-			"": func(t *rapid.T) {
+			}
+		},
+		"backup": func(*rapid.T) { copied, copiedAt = maps.Clone(m.entries), m.revision },
+		"restore": func(*rapid.T) {
+			m.era++
+			m.entries, m.revision = maps.Clone(copied), copiedAt
+			for name := range m.entries {
+				m.writtenAt[name] = m.now
+			}
+			for _, r := range vms {
+				r.Replace(m.now, m.list(), m.position(), true)
+			}
+		},
+		"": func(t *rapid.T) {
+			for i, r := range vms {
 				for name, h := range m.running {
-					if l := r.Lifetime(NewToken(name, h.Started)); l != nil && l.Replaced {
-						t.Fatalf("start %d of %s runs, but counts as replaced", h.Started, name)
+					if l := r.Lifetime(NewToken(name, h.Started)); l != nil && l.Replaced && !clockSteps {
+						t.Fatalf("entry VM %d: start %d of %s runs, but counts as replaced", i, h.Started, name)
 					}
 				}
 				for _, l := range r.Hosts("standdesk") {
-					if known[l.Token] {
-						t.Fatalf("start %d of %s receives flows after it was listed as leaving", l.Started, l.Name)
+					h := m.running[l.Name]
+					if h == nil || !left[i][NewToken(h.Name, h.Started)] {
+						continue
+					}
+					if !clockSteps || h.Started == l.Started {
+						t.Fatalf("entry VM %d: start %d of %s receives flows after start %d was listed as leaving",
+							i, l.Started, l.Name, h.Started)
 					}
 				}
-			},
-		})
-		for _, h := range m.late {
-			m.execute(h)
-		}
-		m.late = nil
-		pass(t, entryTimeout+deferPeriod, false)
-		var want []string
-		for name, h := range m.running {
-			if !h.Leaving {
-				want = append(want, name)
 			}
+		},
+	})
+	for _, h := range m.late {
+		m.execute(h)
+	}
+	m.late = nil
+	pass(t, entryTimeout+deferPeriod, false)
+	var want []string
+	for name, h := range m.running {
+		if !h.Leaving {
+			want = append(want, name)
 		}
+	}
+	slices.Sort(want)
+	for i, r := range vms {
 		got := names(r)
 		slices.Sort(got)
-		slices.Sort(want)
 		if !slices.Equal(got, want) {
-			t.Fatalf("got servers %v, want %v", got, want)
+			t.Fatalf("entry VM %d: got servers %v, want %v", i, got, want)
 		}
 		for _, l := range r.Hosts("standdesk") {
 			if l.Started != m.running[l.Name].Started {
-				t.Fatalf("got start %d of %s, want %d", l.Started, l.Name, m.running[l.Name].Started)
+				t.Fatalf("entry VM %d: got start %d of %s, want %d", i, l.Started, l.Name, m.running[l.Name].Started)
+			}
+			if l.Replaced {
+				t.Fatalf("entry VM %d: %s receives flows, but counts as replaced", i, l.Name)
 			}
 		}
-	})
+	}
+	m.running = map[string]*Host{}
+	pass(t, entryTimeout+deferPeriod, false)
+	for i, r := range vms {
+		r.Sweep(m.now + 2*DefaultRetention)
+		r.Sweep(m.now + 4*DefaultRetention)
+		if n := len(r.names) + len(r.tokens) + len(r.positions) + len(r.addresses) + len(r.retired) + len(r.deferred); n > 0 {
+			t.Fatalf("entry VM %d: %d items are kept after all servers have ended", i, n)
+		}
+	}
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -15,10 +15,6 @@
 // again after an outage of the store.
 const DefaultGracePeriod = 2200 * time.Millisecond
 
-// deferPeriod is how long a listed server is deferred at most because of a later start of its name. It is longer than the
-// store takes to remove the entry of a server that has ended, and than a server takes to write its entry again.
-const deferPeriod = 5 * time.Second
-
 // DefaultRetention is how long a lifetime is kept after it is gone.
 const DefaultRetention = 90 * time.Second
 
@@ -156,30 +152,24 @@
 	Retention time.Duration
 	// Changed is called after each change of the state of a lifetime, with the previous state; it may be nil.
 	Changed func(now time.Duration, l *Lifetime, before State)
-	// Replaced is called when a lifetime counts as replaced by a later one of its name or its address; it may be nil.
-	Replaced func(former, later *Lifetime)
+	// OnReplaced is called when a lifetime counts as replaced by a later one of its name or its address; it may be nil.
+	OnReplaced func(former, later *Lifetime)
 	// Forgotten is called when a retired lifetime and its token are removed; it may be nil.
 	Forgotten func(token uint32)
 
 	config     Configuration
 	routes     map[netip.AddrPort]*Route
-	names      map[string]*Lifetime // newest lifetime of each name
+	names      map[string]*Lifetime // current lifetime of each name
 	tokens     map[uint32]*Lifetime
 	addresses  map[netip.AddrPort]*Lifetime // lifetime to which each address is assigned
 	services   map[string][]*Lifetime       // lifetimes that receive new flows, by service
 	positions  map[string]history.Position  // position of the last change of each name
 	unassigned map[string]Change            // listed servers whose service is not in the configuration
-	deferred   map[string]deferredChange    // listed servers that have a rival, by name
+	deferred   map[string]*deferredChange   // listed servers whose reports may be outdated, by name
 	base       history.Position             // of the first full read in its era; later changes are not from a copy
 	retired    map[*Lifetime]struct{}       // lapsed and gone lifetimes, which Sweep checks
 }
 
-// deferredChange is a listed server that is applied later.
-type deferredChange struct {
-	Change
-	since time.Duration
-}
-
 // NewToken returns the token of a lifetime. It is never 0, because packets without a token carry 0.
 func NewToken(name string, started int64) uint32 {
 	var d xxhash.Digest
@@ -200,11 +190,12 @@
 // Configuration returns the active configuration. The caller must not modify it.
 func (r *Registry) Configuration() Configuration { return r.config }
 
-// Changes returns the servers of the registry as one change for each listed server.
+// Changes returns the listed servers as changes. A server whose last report may be outdated has two, of which the later
+// one in the list is that report.
 func (r *Registry) Changes() []Change {
 	var list []Change
 	for name, l := range r.names {
-		if l.State == StateReady || l.State == StateLeaving {
+		if l.State == StateReady || l.State == StateLeaving && l.Leaving {
 			h := l.Host
 			at := r.positions[name]
 			list = append(list, Change{Name: name, Era: at.Era, Revision: at.Revision, Created: l.First.Revision, Host: &h})
@@ -213,10 +204,8 @@
 	for _, c := range r.unassigned {
 		list = append(list, c)
 	}
-	for name, d := range r.deferred {
-		if l := r.names[name]; l == nil || l.State != StateLeaving {
-			list = append(list, d.Change)
-		}
+	for _, d := range r.deferred {
+		list = append(list, d.Change)
 	}
 	return list
 }
@@ -264,14 +253,7 @@
 		c.Host, c.Fault = nil, FaultUnknownService
 	}
 	if c.Host != nil {
-		r.initMaps()
-		var changed bool
-		if rival := r.rival(&c); rival != nil {
-			changed = r.deferHost(now, &c, rival)
-		} else {
-			delete(r.deferred, c.Name)
-			changed = r.applyHost(now, &c)
-		}
+		changed := r.list(now, &c)
 		return r.applyDeferred(now) || changed
 	}
 	_, wasDeferred := r.deferred[c.Name]
@@ -286,7 +268,7 @@
 	if c.Fault == "" && storeDown && l.State == StateReady {
 		return r.setState(now, l, StateLapsed)
 	}
-	if l.State == StateLapsed && !wasDeferred {
+	if l.State == StateLapsed && (storeDown || !wasDeferred) {
 		return false // Sweep ends the grace period.
 	}
 	l.Removed = c.Fault == "" && !storeDown
@@ -342,7 +324,7 @@
 		switch {
 		case l.State == StateLapsed && now-l.Since >= gracePeriod:
 			r.setState(now, l, StateGone)
-		case l.State == StateGone && now-l.Since >= retention:
+		case l.State == StateGone && now-l.Since >= retention && r.deferred[l.Name] == nil:
 			r.forget(l)
 		}
 	}
@@ -406,133 +388,6 @@
 	return true
 }
 
-// applyHost lists a server that no other lifetime keeps from being used, see rival.
-func (r *Registry) applyHost(now time.Duration, c *Change) bool {
-	h := c.Host
-	l := r.add(now, c)
-	r.setCurrent(now, l)
-	if c.Era > l.First.Era {
-		l.First = r.first(c)
-	}
-	l.Last = c.position()
-	moved := l.Address != h.Address || l.Service != h.Service
-	if moved {
-		r.unlist(l)
-		r.releaseAddress(l)
-	}
-	sequence := max(l.Sequence, h.Sequence)
-	l.Host, l.Removed, l.Replaced = *h, false, false
-	l.Sequence = sequence
-	l.ColdUntil = now + h.Cold
-	r.claimAddress(now, l)
-	state := StateReady
-	if h.Leaving {
-		state = StateLeaving
-	}
-	changed := r.setState(now, l, state)
-	r.updateListing(l)
-	return changed || moved
-}
-
-// isAfter reports whether a change at p was certainly made after one at q.
-func (r *Registry) isAfter(p, q history.Position) bool {
-	return p.After(q) || p.Era > q.Era && p.Era == r.base.Era && p.Revision > r.base.Revision
-}
-
-// follows reports whether l certainly started after the server of other had ended, if both have the same name or address.
-// The order in the store alone does not tell, because a report may be written after that of a later start. The start times
-// alone do not tell either, because the clock of a server may have been set back.
-func (r *Registry) follows(l, other *Lifetime) bool {
-	return l.Started > other.Started && r.isAfter(l.First, other.Last)
-}
-
-// rival returns the lifetime that keeps a listed server from being used, because both have the same name or address and
-// the listed report may be an outdated one that was written late or is from an outdated copy of the store. It returns
-// nil if there is none.
-func (r *Registry) rival(c *Change) *Lifetime {
-	h := c.Host
-	if l := r.names[h.Name]; l != nil {
-		switch {
-		case l.Started > h.Started:
-			return l
-		case l.Started == h.Started && l.Sequence > h.Sequence && !h.Leaving && (l.State != StateGone || l.Leaving):
-			return l // Leaving is final for a start, so a report of it applies in any order.
-		}
-	}
-	other := r.addresses[h.Address]
-	if other != nil && other.Name != h.Name && other.State != StateGone && other.Started >= h.Started {
-		return other
-	}
-	return nil
-}
-
-// deferHost keeps a listed server that has a rival. Packets of its flows are forwarded meanwhile.
-func (r *Registry) deferHost(now time.Duration, c *Change, rival *Lifetime) bool {
-	if r.deferred == nil {
-		r.deferred = map[string]deferredChange{}
-	}
-	since := now
-	if d, ok := r.deferred[c.Name]; ok {
-		since = d.since
-	}
-	r.deferred[c.Name] = deferredChange{*c, since}
-	l := r.add(now, c)
-	if l.State == StateGone && c.Host.Sequence >= l.Sequence {
-		r.releaseAddress(l)
-		l.Host = *c.Host
-	}
-	if current := r.names[c.Name]; current == nil || current.Started < l.Started {
-		r.setCurrent(now, l)
-	}
-	current := r.names[c.Name]
-	switch {
-	case current.State != StateReady && current.State != StateLapsed:
-		return false
-	case c.Host.Leaving:
-		return r.setState(now, current, StateLeaving) // The server of this name leaves, whichever start it is.
-	case rival == l:
-		return r.setState(now, l, StateReady) // It is listed again.
-	case rival == current && current.State == StateReady:
-		return r.setState(now, current, StateLapsed) // Its next report lists it again.
-	}
-	return false
-}
-
-// applyDeferred applies the deferred servers that have no rival any longer and reports whether one changed the registry.
-func (r *Registry) applyDeferred(now time.Duration) bool {
-	changed := false
-	for name, d := range r.deferred {
-		if rival := r.rival(&d.Change); rival != nil {
-			l := r.add(now, &d.Change)
-			if l.State == StateGone && r.follows(rival, l) {
-				r.markReplaced(l, rival)
-			}
-			// An outdated entry would have been written again or removed by now, unless a clock was set back.
-			settled := rival.Name == name && now-d.since >= deferPeriod
-			if !settled || l.Leaving && !d.Host.Leaving && l.Sequence > d.Host.Sequence {
-				continue
-			}
-		}
-		delete(r.deferred, name)
-		changed = r.applyHost(now, &d.Change) || changed
-	}
-	return changed
-}
-
-// first returns the position at which the start of a listed server was first listed, as far as it is known.
-func (r *Registry) first(c *Change) history.Position {
-	switch l := r.names[c.Name]; {
-	case l == nil:
-		return history.Position{Era: c.Era, Revision: max(c.Created, 1)}
-	case l.Started != c.Host.Started:
-		return c.position() // The entry may have been created for the earlier start.
-	case l.First.Era == c.Era:
-		return l.First
-	default:
-		return history.Position{Era: c.Era, Revision: min(l.First.Revision, c.Revision)}
-	}
-}
-
 func (r *Registry) initMaps() {
 	if r.names == nil {
 		r.names, r.tokens = map[string]*Lifetime{}, map[uint32]*Lifetime{}
@@ -563,50 +418,6 @@
 	return l
 }
 
-// setCurrent makes l the current lifetime of its name.
-func (r *Registry) setCurrent(now time.Duration, l *Lifetime) {
-	former := r.names[l.Name]
-	r.names[l.Name] = l
-	if former == nil || former == l {
-		return
-	}
-	if r.follows(l, former) {
-		r.markReplaced(former, l)
-	}
-	r.setState(now, former, StateGone)
-}
-
-// claimAddress assigns the address of l to l. Another server that is listed with the address is deferred.
-func (r *Registry) claimAddress(now time.Duration, l *Lifetime) {
-	other := r.addresses[l.Address]
-	r.addresses[l.Address] = l
-	if other == nil || other == l {
-		return
-	}
-	if r.follows(l, other) {
-		r.markReplaced(other, l)
-	}
-	_, deferred := r.deferred[other.Name] // Its entry is of an outdated report, which stays deferred.
-	if !deferred && (other.State == StateReady || other.State == StateLeaving) {
-		h := other.Host
-		r.deferHost(now, &Change{
-			Name: h.Name, Era: other.Last.Era, Revision: other.Last.Revision, Created: other.First.Revision, Host: &h,
-		}, l)
-	}
-	r.setState(now, other, StateGone)
-}
-
-// markReplaced records that the server of a lifetime has certainly ended, because a later one has its name or its address.
-func (r *Registry) markReplaced(former, later *Lifetime) {
-	if former.Replaced {
-		return
-	}
-	former.Replaced = true
-	if r.Replaced != nil {
-		r.Replaced(former, later)
-	}
-}
-
 // setState sets the state of l and reports whether it changed. A replaced lifetime can only become gone.
 func (r *Registry) setState(now time.Duration, l *Lifetime, s State) bool {
 	before := l.State
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -193,6 +193,8 @@
 	is.Equal(names(&r), []string{"i-1"}) // The entry may be a late report of a former start, which has the same address.
 	is.True(!r.Lifetime(NewToken("i-1", 3)).Replaced)
 	is.True(!r.Lifetime(NewToken("i-1", 5)).Replaced)
+	r.Sweep(DefaultGracePeriod)
+	is.Equal(names(&r), []string{}) // Until it is known that the entry is not outdated.
 	r.Sweep(deferPeriod)
 	is.Equal(r.Hosts("standdesk")[0].Started, int64(3))
 	is.True(!r.Lifetime(NewToken("i-1", 3)).Replaced)
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -40,7 +40,7 @@
 	Era uint64 `cbor:"4,keyasint,omitempty"`
 	// Revision is the revision of the store up to which changes have been received; a valid snapshot has at least 1.
 	Revision uint64 `cbor:"1,keyasint"`
-	// Servers has one change for each server.
+	// Servers are changes that list the servers, in the order in which they apply.
 	Servers []registry.Change `cbor:"2,keyasint"`
 	// Configuration is the active configuration.
 	Configuration registry.Configuration `cbor:"3,keyasint"`
