Split announcements by their encoded size

Cause: a reader put up to 8 changes into an announcement, whatever their size, and receivers refuse a message of more than 1,400 bytes. A server with a long name, zone or service made the announcements that carried it undecodable; all other entry VMs of the zone missed it and its neighbors and read the store.

Ruled out: a panic or an end of the process (the messages are refused and counted), and a gap for good: the entry VMs read the changes from the store after gapTimeout, each by itself.

Change: Publish splits the changes so that each encoded message fits. A change that fits into no message is left out, which receivers notice as a gap.

Result: TestLongChangesFitIntoMessages failed before with "announcement has 2108 bytes, more than the limit of 1400 bytes" and passes.

--- a/internal/announce/group.go
+++ b/internal/announce/group.go
@@ -1,6 +1,7 @@
 package announce
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -32,7 +33,7 @@
 	datagramsPerTick = 120
 	// maxBatches bounds the batches that are kept; receivers that miss an older one read the store.
 	maxBatches = 128
-	// maxChanges is the greatest number of changes in a message, so that it fits into maxMessageBytes.
+	// maxChanges is the greatest number of changes in a message.
 	maxChanges = 8
 	// maxMessageBytes is the greatest size of an encoded message in bytes.
 	maxMessageBytes = 1400
@@ -178,17 +179,47 @@
 			servers = append(servers, c)
 		}
 	}
-	for len(servers) > maxChanges { // Split at a revision; the changes are in the order of their revisions.
-		to := servers[maxChanges-1].Revision
-		g.batches = append(g.batches, batch{since: since, revision: to, changes: servers[:maxChanges]})
-		servers, since = servers[maxChanges:], to
+	limit := maxMessageBytes - g.headerBytes()
+	for len(servers) > 0 { // Split at a revision; the changes are in the order of their revisions.
+		n := fitting(servers, limit)
+		to := servers[max(n, 1)-1].Revision
+		if n == len(servers) {
+			to = revision
+		}
+		if n > 0 { // A change that fits into no message leaves a gap, so that receivers read it from the store.
+			g.batches = append(g.batches, batch{since: since, revision: to, changes: servers[:n]})
+		}
+		servers, since = servers[max(n, 1):], to
 	}
-	if len(servers) > 0 || since < revision {
-		g.batches = append(g.batches, batch{since: since, revision: revision, changes: servers})
+	if since < revision {
+		g.batches = append(g.batches, batch{since: since, revision: revision})
 	}
 	g.batches = g.batches[max(0, len(g.batches)-maxBatches):]
 }
 
+// headerBytes returns the greatest size of a message of this entry VM without its changes.
+func (g *Group) headerBytes() int {
+	b, err := Encode(&Message{
+		From: g.Self, Era: math.MaxUint64, Since: math.MaxUint64, Revision: math.MaxUint64, Version: math.MaxUint64,
+		Changes: make([]registry.Change, 1),
+	})
+	if err != nil {
+		return maxMessageBytes
+	}
+	return len(b)
+}
+
+// fitting returns the number of changes, at most maxChanges, whose encoded size is within the limit in bytes.
+func fitting(changes []registry.Change, limit int) int {
+	for i := range min(len(changes), maxChanges) {
+		b, err := cbor.Marshal(&changes[i])
+		if limit -= len(b); err != nil || limit < 0 {
+			return i
+		}
+	}
+	return min(len(changes), maxChanges)
+}
+
 // StoreLost records that the store is unavailable to this entry VM. Its revision may then be outdated, so it announces
 // nothing until the next Publish.
 func (g *Group) StoreLost() { g.latest = batch{} }
--- a/internal/announce/group_test.go
+++ b/internal/announce/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -212,6 +213,51 @@
 	is.Equal(nonReader.revision, uint64(50))
 }
 
+// Guards against a server with a long name, zone or service whose announcement the other entry VMs of the zone refuse, so
+// that all of them miss the changes of its neighbors and read the store.
+func TestLongChangesFitIntoMessages(t *testing.T) {
+	is := is.New(t)
+	z := newZone(3)
+	reader := z.readers()[0]
+	at, since := history.Position{}, uint64(0)
+	var applied []string
+	reader.Send = func(_ []member.Member, m *Message) {
+		b, err := Encode(m)
+		is.NoErr(err)
+		m, err = Decode(b)
+		is.NoErr(err) // A message that is sent can be decoded.
+		a := z.nonReader().Handle(z.now, m, at, 0)
+		for _, c := range a.Apply {
+			applied = append(applied, c.Name)
+		}
+		if a.Position.Revision > 0 {
+			at = a.Position
+		}
+	}
+	publish := func(lengths ...int) {
+		var changes []registry.Change
+		for _, n := range lengths {
+			since++
+			long := strings.Repeat("z", n)
+			name := fmt.Sprintf("i-%d", since)
+			changes = append(changes, registry.Change{Name: name, Revision: since, Host: &registry.Host{
+				Name: name, Service: long, Address: netip.MustParseAddrPort("10.0.0.1:8080"), AvailabilityZone: long,
+			}})
+		}
+		reader.Publish(since-uint64(len(lengths)), history.Position{Revision: since}, 0, changes)
+	}
+	publish(10, 128, 128, 128, 128, 128, 128, 128, 128, 128, 10)
+	reader.Tick(z.now)
+	is.Equal(len(applied), 11)
+	is.Equal(at.Revision, since)
+
+	publish(10, 2000, 10) // One change does not fit into any message.
+	reader.Tick(z.now + period)
+	is.Equal(applied[11:], []string{"i-12"})
+	a := z.nonReader().Handle(z.now+period+gapTimeout, &Message{From: reader.Self, Since: since, Revision: since}, at, 0)
+	is.True(a.NeedsRead) // The changes after the gap are read from the store.
+}
+
 // Guards against an entry VM that continues with a registry in which changes are missing.
 func TestLastingGapNeedsRead(t *testing.T) {
 	is := is.New(t)
