Split replies to lookups by their encoded size

Cause: a reply holds up to 8 records, whatever their size, and receivers refuse a message of more than 1,400 bytes. With long names, zones or services, packets whose tokens were queried together stay unresolved, because the retry queries the same tokens.

Ruled out: a panic (Decode only refuses the message), and queries, whose size is fixed.

Change: Replies returns as many messages as the records need and leaves out a record that fits into none.

TestTokensAreSplitIntoMessages and TestIncompleteRecordIsRejected call Replies; the first requires exactly one reply.

Result: TestLongRecordsFitIntoMessages failed before with "lookup message of 5779 bytes exceeds the limit of 1400 bytes" and passes.

--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -369,7 +369,7 @@
 
 // handleLookup replies to a query of another entry VM, and records the retired servers of a reply.
 func (d *dsrDaemon) handleLookup(now time.Duration, m *lookup.Message) {
-	if reply := d.peers.resolver.Reply(m); reply != nil {
+	for _, reply := range d.peers.resolver.Replies(m) {
 		d.peers.sendLookup(m.From, reply)
 	}
 	learned := false
--- a/internal/lookup/message.go
+++ b/internal/lookup/message.go
@@ -11,10 +11,12 @@
 )
 
 const (
-	// maxTokens is the maximum number of tokens in a query. Its reply then fits into a datagram of 1300 bytes.
+	// maxTokens is the maximum number of tokens in a query.
 	maxTokens = 8
 	// maxMessageBytes is the maximum size of an encoded message.
 	maxMessageBytes = 1400
+	// maxRecordBytes is the maximum size of the encoded records in a reply; the other fields take at most 32 bytes.
+	maxRecordBytes = maxMessageBytes - 32
 )
 
 // Message is a query with Tokens or a reply with Servers.
--- a/internal/lookup/resolver.go
+++ b/internal/lookup/resolver.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/masticspar/masticspar/internal/registry"
 )
 
@@ -61,17 +63,26 @@
 	}
 }
 
-// Reply returns the reply to a query, or nil if all of its tokens are unknown to this entry VM. The caller must set
-// From of the reply.
-func (r *Resolver) Reply(m *Message) *Message {
-	reply := &Message{}
+// Replies returns the replies to a query, each of which fits into a message; none if all of its tokens are unknown to
+// this entry VM. The caller must set From of the replies.
+func (r *Resolver) Replies(m *Message) []*Message {
+	var replies []*Message
+	free := 0 // bytes that are left in the last reply
 	for _, token := range m.Tokens {
-		if record, ok := r.Find(token); ok {
-			reply.Servers = append(reply.Servers, record)
+		record, ok := r.Find(token)
+		if !ok {
+			continue
 		}
+		b, err := cbor.Marshal(&record)
+		if err != nil || len(b) > maxRecordBytes {
+			continue // The reply would be refused.
+		}
+		if len(b) > free {
+			replies, free = append(replies, &Message{}), maxRecordBytes
+		}
+		free -= len(b)
+		last := replies[len(replies)-1]
+		last.Servers = append(last.Servers, record)
 	}
-	if len(reply.Servers) == 0 {
-		return nil
-	}
-	return reply
+	return replies
 }
--- a/internal/lookup/resolver_test.go
+++ b/internal/lookup/resolver_test.go
@@ -45,7 +45,9 @@
 	r := Resolver{Find: func(uint32) (registry.Record, bool) { return retiredRecord("i-0123456789abcdef"), true }}
 	r.Query = func(m *Message) {
 		tokens += len(m.Tokens)
-		reply := r.Reply(m)
+		replies := r.Replies(m)
+		is.Equal(len(replies), 1)
+		reply := replies[0]
 		reply.From = sender
 		b, err := Encode(reply)
 		is.NoErr(err)
@@ -60,6 +62,31 @@
 	is.Equal(tokens, 20)
 }
 
+// Guards against records with long names, zones or services whose reply is refused, so that none of its tokens is ever
+// resolved.
+func TestLongRecordsFitIntoMessages(t *testing.T) {
+	is := is.New(t)
+	long := retiredRecord(strings.Repeat("n", 64))
+	long.Host.Service, long.Host.AvailabilityZone = strings.Repeat("s", 128), strings.Repeat("z", 128)
+	unusable := retiredRecord(strings.Repeat("n", 2*maxMessageBytes))
+	r := Resolver{Find: func(token uint32) (registry.Record, bool) {
+		if token == 3 {
+			return unusable, true
+		}
+		return long, true
+	}}
+	servers := 0
+	for _, reply := range r.Replies(&Message{Tokens: []uint32{1, 2, 3, 4, 5, 6, 7, 8}}) {
+		reply.From = sender
+		b, err := Encode(reply)
+		is.NoErr(err)
+		reply, err = Decode(b)
+		is.NoErr(err)
+		servers += len(reply.Servers)
+	}
+	is.Equal(servers, 7)
+}
+
 // Guards against unbounded memory use by packets with random tokens.
 func TestQueriedTokensAreBounded(t *testing.T) {
 	var r Resolver
@@ -80,7 +107,7 @@
 	_, err = Decode(b)
 	is.True(err != nil)
 	r := Resolver{Find: func(uint32) (registry.Record, bool) { return registry.Record{}, false }}
-	is.Equal(r.Reply(&Message{Tokens: []uint32{1}}), nil)
+	is.Equal(len(r.Replies(&Message{Tokens: []uint32{1}})), 0)
 }
 
 // Guards against a panic on a malformed message of another process.
