--- a/cmd/masticspard/dsr_test.go
+++ b/cmd/masticspard/dsr_test.go
@@ -114,6 +114,41 @@
 	return d, logs
 }
 
+// startZone starts daemons of one availability zone and returns all of them and one that does not watch the store.
+func (s *dsrSite) startZone(n int) (all []*dsrDaemon, follower *dsrDaemon) {
+	var contact netip.AddrPort
+	for i := range n {
+		set := s.settings(fmt.Sprint("entry-", i))
+		if i == 0 {
+			contact = set.PeerAddress
+		} else {
+			set.Contacts = []netip.AddrPort{contact}
+		}
+		set.PeerAddress = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), contact.Port())
+		d, _ := s.start(set)
+		all = append(all, d)
+		s.waitFor("ready", isReady(set))
+	}
+	s.waitFor("a daemon that does not watch", func() bool {
+		for _, d := range all {
+			d.mu.Lock()
+			members := len(d.peers.list.Active())
+			d.mu.Unlock()
+			if members < len(all) {
+				return false
+			}
+		}
+		time.Sleep(2 * time.Second) // Daemons that have just started do not watch.
+		for _, d := range all {
+			if !d.shouldRead() {
+				follower = d
+			}
+		}
+		return follower != nil
+	})
+	return all, follower
+}
+
 // waitFor polls f until it returns true, and fails the test after dsrTimeout.
 func (s *dsrSite) waitFor(what string, f func() bool) {
 	s.Helper()
@@ -264,38 +299,7 @@
 func TestDSRFollowerGetsStateOfRestoredStore(t *testing.T) {
 	is := is.New(t)
 	s := newDSRSite(t, "i-1")
-	var all []*dsrDaemon
-	var contact netip.AddrPort
-	for i := range 3 {
-		set := s.settings(fmt.Sprint("entry-", i))
-		if i == 0 {
-			contact = set.PeerAddress
-		} else {
-			set.Contacts = []netip.AddrPort{contact}
-		}
-		set.PeerAddress = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), contact.Port())
-		d, _ := s.start(set)
-		all = append(all, d)
-		s.waitFor("ready", isReady(set))
-	}
-	var follower *dsrDaemon
-	s.waitFor("a daemon that does not watch", func() bool {
-		for _, d := range all {
-			d.mu.Lock()
-			members := len(d.peers.list.Active())
-			d.mu.Unlock()
-			if members < len(all) {
-				return false
-			}
-		}
-		time.Sleep(2 * time.Second) // Daemons that have just started do not watch.
-		for _, d := range all {
-			if !d.shouldRead() {
-				follower = d
-			}
-		}
-		return follower != nil
-	})
+	_, follower := s.startZone(3)
 	backup := s.store.Backup()
 	s.putConfiguration(2)
 	s.waitFor("the change that is lost", func() bool { return follower.configuration().Version == 2 })
