Test that odd configurations end no entry VM

The operators' configuration is trusted, but an odd one must not end the process. The test writes 15 kinds (other types, nested bytes, times that overflow, weights that are not numbers or overflow as a sum, addresses and ports out of range, a service of 100,000 bytes), sends SYNs after each, and requires that no panic is contained and that the next configuration is used.

--- a/cmd/masticspard/dsr_odd_test.go
+++ b/cmd/masticspard/dsr_odd_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/masticspar/masticspar/internal/conntrack"
 	"github.com/masticspar/masticspar/internal/registry"
 	standin "github.com/masticspar/masticspar/platform/standin/store"
 	"github.com/masticspar/masticspar/platform/standin/wire"
@@ -183,6 +184,77 @@
 	}
 }
 
+// Guards against a configuration that ends an entry VM or keeps it from following the store.
+func TestDSRContinuesAfterOddConfiguration(t *testing.T) {
+	s := newDSRSite(t, "i-1")
+	set := s.settings("entry-1")
+	d, _ := s.start(set)
+	s.waitFor("ready", isReady(set))
+	route := func(change func(fields map[string]any)) map[string]any {
+		fields := map[string]any{
+			"name": "job-board", "host": dsrRoute.Addr().String(), "prefix": "/443/", "kind": "idempotent", "service": "standdesk",
+			"timeout_ms": 1000, "target_latency_ms": 150,
+		}
+		change(fields)
+		return fields
+	}
+	split := func(weights ...float64) func(map[string]any) {
+		return func(fields map[string]any) {
+			var list []any
+			for _, w := range weights {
+				list = append(list, map[string]any{"service": "standdesk", "weight": w})
+			}
+			fields["traffic_split"] = list
+		}
+	}
+	version := uint64(1)
+	for _, routes := range []any{
+		nil, "routes",
+		[]any{},
+		[]any{5},
+		[]any{nil},
+		[]any{route(func(fields map[string]any) {
+			fields["timeout_ms"], fields["target_latency_ms"] = math.MaxInt64, math.MaxInt64
+		})},
+		[]any{route(func(fields map[string]any) {
+			fields["timeout_ms"], fields["target_latency_ms"] = math.MinInt64, math.MinInt64
+		})},
+		[]any{route(func(fields map[string]any) { fields["host"] = "fe80::1%eth0" })},
+		[]any{route(func(fields map[string]any) { fields["prefix"] = "/65536/" })},
+		[]any{route(func(fields map[string]any) { fields["service"] = "" })},
+		[]any{route(func(fields map[string]any) { fields["service"] = strings.Repeat("s", 100_000) })},
+		[]any{route(split(math.NaN(), math.Inf(1), math.Inf(-1), -1))},
+		[]any{route(split(math.MaxFloat64, math.MaxFloat64))},
+		[]any{route(split(math.SmallestNonzeroFloat64, math.NaN()))},
+		cbor.RawMessage(append(bytes.Repeat([]byte{0x81}, 60_000), 0)),
+	} {
+		version++
+		b, err := cbor.Marshal(map[string]any{"version": version, "routes": routes})
+		must(t, err)
+		at := s.store.Put(wire.ConfigurationKey, b)
+		s.waitFor("the odd configuration", func() bool { return d.replica.Position().Revision >= at })
+		for port := range uint16(8) {
+			s.send(set.DataAddress, 4000+port, conntrack.Packet{SYN: true})
+		}
+	}
+	s.putConfiguration(version+1, registry.Route{
+		Name: "job-board", Address: dsrRoute, Targets: []registry.Target{{Service: "standdesk", Weight: 1}},
+	})
+	s.waitFor("the next configuration", func() bool { return d.configuration().Version == version+1 })
+	s.waitFor("a SYN at the server", func() bool {
+		s.send(set.DataAddress, 5000, conntrack.Packet{SYN: true})
+		b := s.receive(s.hosts["i-1"], 50*time.Millisecond)
+		if b == nil {
+			return false
+		}
+		p, _ := s.packet(b)
+		return p.SYN && p.Caller.Port() == 5000
+	})
+	if got := count([]*dsrDaemon{d}, "panics-contained"); got != 0 {
+		t.Errorf("%d panics were contained, want 0", got)
+	}
+}
+
 // missing returns the servers i-1 to i-n that receive no new flows.
 func (d *dsrDaemon) missing(n int) []string {
 	d.mu.Lock()
