Take announced configurations while calls to the store are silent

The back-off counts from the start of the call that failed. A watch ends 0.5 s after others have announced what it has not returned, and an announced configuration ends a back-off.

Four tests failed before.

--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -95,5 +95,5 @@
 	if complete && (!r.isSynced() || at.Era > r.Position().Era) {
 		r.complete(at)
 	}
-	r.Resync(true)
+	r.repeatConfiguration()
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -23,6 +23,9 @@
 	ErrRefused = errors.ConstError("the store refused the call")
 )
 
+// errInterrupted is the cause for ending a call to the store that has kept other work waiting for too long.
+const errInterrupted = errors.ConstError("other entry VMs have newer state")
+
 // errOutdated is the error for a reply that the store gave before it was restored.
 const errOutdated = errors.ConstError("the reply is from an earlier era of the store")
 
@@ -33,6 +36,9 @@
 	catchUpWait = time.Millisecond
 	// watchMargin is how long after WatchTimeout the reply to a watch may arrive.
 	watchMargin = 700 * time.Millisecond
+	// interruptDelay is how long a watch may keep newer state of other entry VMs waiting. A working one returns the change
+	// itself in this time.
+	interruptDelay = 500 * time.Millisecond
 	// minBackoff and maxBackoff bound the delay before a retry, from which up to half is then subtracted at random. Every
 	// call counts against the rate limit of the store.
 	minBackoff = 100 * time.Millisecond
@@ -126,6 +132,7 @@
 	stateDue         bool             // whether the state has to be fetched from the process that announced a later era
 	stateAt          time.Duration    // when this is or was due
 	fullRead         fullRead
+	interrupt        context.CancelCauseFunc // ends the watch in progress; nil if there is none
 
 	// Written with mu held, so that StoreDown can read them.
 	storeDown   bool          // whether the last call to the store failed
@@ -138,6 +145,8 @@
 	failures   int           // consecutive calls that failed
 	compacted  int           // consecutive watches for which the store no longer had the history
 	peerReadAt time.Duration // when the last snapshot of another process arrived
+
+	wake chan struct{} // receives a value when another process has announced a configuration
 }
 
 // fullRead is a full read in progress. The store may refuse one of its pages when all processes of a large fleet read
@@ -150,17 +159,12 @@
 
 // New starts a Replica that follows the store. The returned function stops it and waits until it has ended.
 func New(c Config) (*Replica, func()) {
-	r := &Replica{Config: c}
+	r := &Replica{Config: c, wake: make(chan struct{}, 1)}
 	ctx := r.tb.Context(context.Background())
 	r.tb.Go(func() error {
 		r.bootstrap(ctx)
 		for r.tb.Alive() {
-			if delay := r.step(ctx); delay > 0 {
-				select {
-				case <-time.After(delay):
-				case <-r.tb.Dying():
-				}
-			}
+			r.pause(r.step(ctx))
 		}
 		return nil
 	})
@@ -170,6 +174,18 @@
 	}
 }
 
+// pause waits between two steps. It returns early when another process announces a configuration, which is read from there.
+func (r *Replica) pause(delay time.Duration) {
+	if delay == 0 {
+		return
+	}
+	select {
+	case <-time.After(delay):
+	case <-r.wake:
+	case <-r.tb.Dying():
+	}
+}
+
 // StoreDown reports whether the store is unavailable to this process or was so recently.
 func (r *Replica) StoreDown() bool {
 	r.mu.Lock()
@@ -212,6 +228,13 @@
 	defer r.mu.Unlock()
 	if configurationOnly {
 		r.configurationDue = true
+		if r.synced && r.ReadPeerConfiguration != nil {
+			select {
+			case r.wake <- struct{}{}:
+			default:
+			}
+		}
+		r.interruptLater()
 	} else {
 		r.synced, r.fullRead = false, fullRead{}
 	}
@@ -222,6 +245,36 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.catchUpDue = true
+	r.interruptLater()
+}
+
+// repeatConfiguration requests a read of the configuration as the next call, after the delay for a call that failed.
+func (r *Replica) repeatConfiguration() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.configurationDue = true
+}
+
+func (r *Replica) setInterrupt(f context.CancelCauseFunc) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.interrupt = f
+}
+
+// interruptLater ends the watch in progress after interruptDelay if the changes or the configuration that others have
+// are still due then: its channel may be silent. It must be called with mu held.
+func (r *Replica) interruptLater() {
+	interrupt := r.interrupt
+	if interrupt == nil {
+		return
+	}
+	time.AfterFunc(interruptDelay, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.configurationDue || r.catchUpDue {
+			interrupt(errInterrupted)
+		}
+	})
 }
 
 // step makes one call or one full read and returns the delay before the next step.
@@ -230,6 +283,10 @@
 	synced, configurationDue, catchUpDue := r.synced, r.configurationDue, r.catchUpDue
 	fetchState := r.stateDue && r.Now() >= r.stateAt
 	r.configurationDue, r.readingDue, r.catchUpDue = false, configurationDue, false
+	select {
+	case <-r.wake: // This step reads the configuration that was announced.
+	default:
+	}
 	r.mu.Unlock()
 	defer func() {
 		r.mu.Lock()
@@ -270,13 +327,14 @@
 	r.Counters.Add("store-reads", 1)
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	started := r.Now()
 	page, err := r.ReadConfiguration(call)
 	if err == nil && r.noticeEra(page.Era) < 0 {
 		err = errOutdated
 	}
 	if err != nil {
-		r.Resync(true)
-		delay := r.recordFailure(err)
+		r.repeatConfiguration()
+		delay := r.recordFailure(err, started)
 		r.adoptPeer(ctx)
 		return delay
 	}
@@ -299,13 +357,14 @@
 		if fresh && current.next == "" && r.ReadPeer != nil {
 			stopHedge = r.hedge(ctx)
 		}
+		started := r.Now()
 		page, err := r.readPage(ctx, current.next)
 		stopHedge()
 		if err == nil && r.noticeEra(page.Era) < 0 {
 			err = errOutdated
 		}
 		if err != nil {
-			return r.suspendRead(ctx, current, err)
+			return r.suspendRead(ctx, current, err, started)
 		}
 		if current.next != "" && page.Era != current.at.Era {
 			current = fullRead{} // The earlier pages are from another era.
@@ -376,12 +435,12 @@
 }
 
 // suspendRead keeps the pages of a full read that failed, so that the retry continues it, and reads the snapshot of
-// another process in the meantime.
-func (r *Replica) suspendRead(ctx context.Context, current fullRead, err error) time.Duration {
+// another process in the meantime. started is when the call that failed was made.
+func (r *Replica) suspendRead(ctx context.Context, current fullRead, err error, started time.Duration) time.Duration {
 	r.mu.Lock()
 	r.fullRead = current
 	r.mu.Unlock()
-	delay := r.recordFailure(err)
+	delay := r.recordFailure(err, started)
 	if !r.isSynced() {
 		r.adoptPeer(ctx)
 	}
@@ -415,8 +474,18 @@
 	r.Counters.Add("store-watches", 1)
 	call, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
-	since := r.Position()
+	call, interrupt := context.WithCancelCause(call)
+	defer interrupt(nil)
+	if wait > catchUpWait {
+		r.setInterrupt(interrupt)
+		defer r.setInterrupt(nil)
+	}
+	since, started := r.Position(), r.Now()
 	page, err := r.Watch(call, since.Revision, wait)
+	if err != nil && errors.Is(context.Cause(call), errInterrupted) {
+		r.Counters.Add("store-retry-interrupted", 1)
+		return 0, nil
+	}
 	if errors.Is(err, ErrCompacted) {
 		r.Counters.Add("store-retry-forgotten", 1)
 		r.Resync(false)
@@ -427,7 +496,7 @@
 		err = errOutdated
 	}
 	if err != nil {
-		return r.recordFailure(err), err
+		return r.recordFailure(err, started), err
 	}
 	r.recordSuccess()
 	r.compacted = 0
@@ -444,7 +513,9 @@
 	return r.BatchDelay, nil
 }
 
-func (r *Replica) recordFailure(err error) time.Duration {
+// recordFailure records that a call made at started has failed, and returns the delay before the next one. The time that the
+// call took counts, so that a silent call is repeated at once.
+func (r *Replica) recordFailure(err error, started time.Duration) time.Duration {
 	if !r.tb.Alive() {
 		return 0 // The call was canceled because the Replica stops.
 	}
@@ -465,7 +536,7 @@
 		r.Lost(err)
 	}
 	r.failures++
-	return backoff(r.failures)
+	return max(0, backoff(r.failures)-(r.Now()-started))
 }
 
 // backoff returns the delay after the given number of consecutive failures.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -329,7 +329,7 @@
 	r := &Replica{Config: Config{
 		Lost: func(error) {}, Now: func() time.Duration { return 0 }, Counters: counter.New(),
 	}, synced: true}
-	is.True(r.recordFailure(context.DeadlineExceeded) <= 100*time.Millisecond)
+	is.True(r.recordFailure(context.DeadlineExceeded, r.Now()) <= 100*time.Millisecond)
 }
 
 // Guards against a configuration that all processes of a large fleet read from the store although another one has it,
@@ -538,3 +538,72 @@
 		t.Fatalf("got %d full reads in 300ms, want 2 to 10", reads)
 	}
 }
+
+// Guards against an entry VM that does not take the configuration of its zone while its own watch is silent.
+func TestAnnouncedConfigurationEndsSilentWatch(t *testing.T) {
+	s := newStubStore()
+	c := s.config()
+	c.ReadPeerConfiguration = func(context.Context) (Page, error) { return Page{}, nil }
+	watching := make(chan struct{}, 10)
+	c.Watch = func(ctx context.Context, _ uint64, _ time.Duration) (Page, error) {
+		watching <- struct{}{}
+		return receive(ctx, s.watches)
+	}
+	r := s.follow(t, c)
+	<-watching
+	r.Resync(true)
+	s.expect(t, "adopt older")
+	<-watching // The store is watched again, and counts as available.
+	s.watches <- result{page: Page{Revision: 9}}
+	s.expect(t, "apply")
+	expectRevision(t, r, 9)
+}
+
+// Guards against missing changes that are not read while the own watch is silent.
+func TestMissingChangesEndSilentWatch(t *testing.T) {
+	s := newStubStore()
+	c := s.config()
+	waits := make(chan time.Duration, 10)
+	c.Watch = func(ctx context.Context, _ uint64, wait time.Duration) (Page, error) {
+		waits <- wait
+		return receive(ctx, s.watches)
+	}
+	r := s.follow(t, c)
+	<-waits
+	r.CatchUp()
+	if wait := <-waits; wait != catchUpWait {
+		t.Fatalf("got a watch of %v, want one of %v", wait, catchUpWait)
+	}
+}
+
+// Guards against an entry VM that waits for its next call to the store before it takes the configuration of its zone.
+func TestAnnouncedConfigurationEndsBackoff(t *testing.T) {
+	s := newStubStore()
+	c := s.config()
+	c.ReadPeerConfiguration = func(context.Context) (Page, error) { return Page{}, nil }
+	r := s.follow(t, c)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.pause(time.Minute)
+	}()
+	r.Resync(true)
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the pause did not end before the timeout")
+	}
+}
+
+// Guards against a back-off that is added to the time in which a call was silent.
+func TestSilentCallIsRepeatedAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newStubStore()
+	c := s.config()
+	var now time.Duration
+	c.Now = func() time.Duration { return now }
+	r := &Replica{Config: c, failures: 10}
+	now = maxBackoff
+	is.Equal(r.recordFailure(context.DeadlineExceeded, 0), time.Duration(0))
+	is.True(r.recordFailure(ErrRefused, now) >= maxBackoff/2)
+}
