Notice a silent channel to the store within the settle time after a batch

Ruled out: a shorter time-out of all watches, which costs more calls.

TestWatchAfterBatchIsShorter failed before.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -143,6 +143,7 @@
 	wasRestored bool
 
 	failures   int           // consecutive calls that failed
+	repliedAt  time.Duration // when the store last replied to a watch
 	compacted  int           // consecutive watches for which the store no longer had the history
 	peerReadAt time.Duration // when the last snapshot of another process arrived
 
@@ -463,8 +464,11 @@
 	return delay
 }
 
+// watch waits for changes. The wait is shorter after a delay for a batch, so that a channel which has gone silent in the
+// meantime is noticed as early as without the delay.
 func (r *Replica) watch(ctx context.Context) time.Duration {
-	delay, _ := r.readChanges(ctx, r.WatchTimeout) // The next step repeats a call that failed.
+	wait := r.WatchTimeout - min(r.BatchDelay, r.Now()-r.repliedAt)
+	delay, _ := r.readChanges(ctx, max(wait, catchUpWait)) // The next step repeats a call that failed.
 	return delay
 }
 
@@ -499,7 +503,7 @@
 		return r.recordFailure(err, started), err
 	}
 	r.recordSuccess()
-	r.compacted = 0
+	r.compacted, r.repliedAt = 0, r.Now()
 	if page.Era != since.Era {
 		r.Resync(false) // The reply lacks the changes of its era up to the revision of the lost history.
 		return 0, nil
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -607,3 +607,21 @@
 	is.Equal(r.recordFailure(context.DeadlineExceeded, 0), time.Duration(0))
 	is.True(r.recordFailure(ErrRefused, now) >= maxBackoff/2)
 }
+
+// Guards against a silent channel that is noticed later because the watch on it began after the delay for a batch.
+func TestWatchAfterBatchIsShorter(t *testing.T) {
+	is := is.New(t)
+	s := newStubStore()
+	c := s.config()
+	c.BatchDelay = 20 * time.Millisecond
+	waits := make(chan time.Duration, 10)
+	c.Watch = func(ctx context.Context, _ uint64, wait time.Duration) (Page, error) {
+		waits <- wait
+		return receive(ctx, s.watches)
+	}
+	s.follow(t, c)
+	<-waits
+	s.watches <- result{page: Page{Revision: 6, Changes: []registry.Change{{Name: "i-1", Revision: 6}}}}
+	s.expect(t, "apply")
+	is.True(<-waits <= c.WatchTimeout-c.BatchDelay)
+}
