Do not take the removal of an entry for the end of its server

An entry VM that saw few of its flows then reset one of them when its request was retransmitted once, after 200 ms, if the server had sent nothing else for 400 ms, which is usual there.

The request must now have been retransmitted twice, and the server silent since it arrived. TestLossNeedsAllEvidence covers this reason as well.

--- a/internal/dsr/loss.go
+++ b/internal/dsr/loss.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// removedTimeout is how long a server must have been removed and silent before its flows are lost. Callers retransmit
-	// after 200 ms, so a live server that is in use responds within it.
+	// removedTimeout is how long a server must have been removed and silent before its flows are lost. The removal alone is
+	// no proof, because the entry of a live server whose reports are late is removed as well.
 	removedTimeout = 400 * time.Millisecond
 	// silentTimeout is how long a request must be unanswered before its flow is lost although its server is listed. A
 	// full queue of a server takes less time.
@@ -44,7 +44,8 @@
 	switch {
 	case !v.idempotent:
 		return ""
-	case v.removed && v.removedFor >= removedTimeout && v.silentFor >= removedTimeout && v.othersRespond:
+	case v.removed && v.removedFor >= removedTimeout && v.silentFor >= max(removedTimeout, v.waited) &&
+		v.repeats >= minRepeats && v.othersRespond:
 		return ReasonHostRemoved
 	case v.waited >= max(silentTimeout, silentTargets*v.targetLatency) && v.silentFor >= v.waited &&
 		v.repeats >= minRepeats && v.promptServers >= minPromptServers:
--- a/internal/dsr/loss_test.go
+++ b/internal/dsr/loss_test.go
@@ -91,6 +91,24 @@
 	}
 }
 
+// Guards against resetting the flow of a live server whose entry was removed because its reports are late: at an entry VM
+// that sees few of its flows it is silent, and its queue delays a response until the caller has retransmitted once.
+func TestFlowOfServerWithLateReportsIsNotReset(t *testing.T) {
+	is := is.New(t)
+	e := newTestEngine(t, 2)
+	slow, live := twoServers(e)
+	e.removeHost(0, false)
+	e.advance(time.Second)
+	slow.send(100)
+	e.advance(200 * time.Millisecond)
+	live.request(10 * time.Millisecond)
+	is.Equal(slow.retransmit(100).Action, Forward)
+	e.advance(300 * time.Millisecond)
+	live.request(10 * time.Millisecond)
+	slow.acknowledged += 500 // The response to the request arrived.
+	is.Equal(slow.send(100).Action, Forward)
+}
+
 // Guards against resetting flows of a server that lost its entry but still responds to other flows.
 func TestFlowOfRespondingServerIsNotReset(t *testing.T) {
 	is := is.New(t)
--- a/internal/dsr/path_test.go
+++ b/internal/dsr/path_test.go
@@ -197,4 +197,23 @@
 			t.Errorf("%s: got reason %q, want none", name, got)
 		}
 	}
+	complete = lossEvidence{
+		idempotent: true, removed: true, removedFor: removedTimeout, silentFor: 600 * time.Millisecond, othersRespond: true,
+		waited: 600 * time.Millisecond, repeats: minRepeats,
+	}
+	is.Equal(complete.reason(), ReasonHostRemoved)
+	for name, change := range map[string]func(*lossEvidence){
+		"requests must not be repeated": func(v *lossEvidence) { v.idempotent = false },
+		"listed":                        func(v *lossEvidence) { v.removed = false },
+		"just removed":                  func(v *lossEvidence) { v.removedFor = removedTimeout - 1 },
+		"server responded meanwhile":    func(v *lossEvidence) { v.silentFor = 500 * time.Millisecond },
+		"one retransmission":            func(v *lossEvidence) { v.repeats = minRepeats - 1 },
+		"no server responds":            func(v *lossEvidence) { v.othersRespond = false },
+	} {
+		v := complete
+		change(&v)
+		if got := v.reason(); got != "" {
+			t.Errorf("removed, %s: got reason %q, want none", name, got)
+		}
+	}
 }
