--- a/cmd/masticspard/dsr_odd_test.go
+++ b/cmd/masticspard/dsr_odd_test.go
@@ -253,6 +253,10 @@
 	if got := count([]*dsrDaemon{d}, "panics-contained"); got != 0 {
 		t.Errorf("%d panics were contained, want 0", got)
 	}
+	all, odd := count([]*dsrDaemon{d}, "entries-refused"), count([]*dsrDaemon{d}, "entries-refused-configuration")
+	if odd == 0 || odd != all {
+		t.Errorf("%d of %d refusals were counted as of a configuration, want all", odd, all)
+	}
 }
 
 // missing returns the servers i-1 to i-n that receive no new flows.
--- a/cmd/masticspard/dsr_store.go
+++ b/cmd/masticspard/dsr_store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -134,7 +135,9 @@
 func (d *dsrDaemon) update(changes []registry.Change, applyChanges func(now time.Duration)) {
 	for _, c := range changes {
 		if c.Fault != "" {
+			reason, _, _ := strings.Cut(c.Fault, ":")
 			d.counters.Add("entries-refused", 1)
+			d.counters.Add("entries-refused-"+reason, 1)
 			d.log.Warn("entry-refused", zap.String("host", c.Name), zap.String("reason", c.Fault))
 		}
 	}
