Test that daemons keep the flows of a live server after a late report

TestDSRKeepsFlowsOfServerAfterLateReport sends packets of an open flow through a daemon that started after the former entry was removed and through a second one that starts with its state: while the late report is in the store, after the next report of the live server, and after the late entry was removed. The former server has another name at the same address, or the same name.

--- a/cmd/masticspard/dsr_test.go
+++ b/cmd/masticspard/dsr_test.go
@@ -495,6 +495,76 @@
 	is.True(d.counters.Counter("lookup-tokens-asked").Count() > 0)
 }
 
+// Guards against resetting the open flows of a live server, because the store executes a report of a former server late:
+// of one that had the address before, or of the former start under the same name.
+func TestDSRKeepsFlowsOfServerAfterLateReport(t *testing.T) {
+	for _, former := range []string{"i-1", "i-2"} {
+		t.Run(former, func(t *testing.T) {
+			is := is.New(t)
+			s := newDSRSite(t)
+			server := s.listenUDP("127.0.0.1:0")
+			report := func(name string, started, sequence int64) uint64 {
+				return s.store.Put(wire.HostKey(name), wire.HostEntry(&registry.Host{
+					Service: "standdesk", Address: server.LocalAddr().(*net.UDPAddr).AddrPort(), AvailabilityZone: "wa-perth",
+					Slots: 2, Started: started, Sequence: sequence,
+				}))
+			}
+			report(former, 1000, 1)
+			s.store.Delete(wire.HostKey(former))
+			report("i-2", 2000, 1)
+			first := s.settings("entry-1")
+			d1, _ := s.start(first)
+			s.waitFor("ready", isReady(first))
+
+			s.send(first.DataAddress, 4000, conntrack.Packet{SYN: true})
+			syn, _ := s.packet(s.receive(server, dsrTimeout))
+			is.Equal(syn.Token, registry.NewToken("i-2", 2000))
+			keepsFlow := func(to netip.AddrPort) {
+				t.Helper()
+				s.send(to, 4000, conntrack.Packet{ACK: true, Token: syn.Token, Sequence: 1})
+				is.True(s.receive(s.caller, 50*time.Millisecond) == nil) // The flow must not be reset.
+				b := s.receive(server, dsrTimeout)
+				is.True(b != nil) // The packet must be forwarded.
+				p, number := s.packet(b)
+				is.Equal(p.Token, syn.Token)
+				is.Equal(number, uint64(2))
+			}
+			applied := func(d *dsrDaemon, revision uint64) {
+				t.Helper()
+				s.waitFor("the report", func() bool { return d.replica.Position().Revision >= revision })
+			}
+			keepsFlow(first.DataAddress)
+
+			applied(d1, report(former, 1000, 2)) // It is executed late.
+			keepsFlow(first.DataAddress)
+			second := s.settings("entry-2", first.PeerAddress)
+			// Contacts get the port of the own peer address, so the daemons need different IP addresses.
+			second.PeerAddress = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), first.PeerAddress.Port())
+			d2, _ := s.start(second)
+			s.waitFor("ready", isReady(second))
+			is.Equal(d2.counters.Counter("bootstrapped-from-peer").Count(), int64(1))
+			keepsFlow(second.DataAddress)
+
+			revision := report("i-2", 2000, 2)
+			if former != "i-2" {
+				s.store.Delete(wire.HostKey(former)) // It reports no more.
+				revision++
+			}
+			for d, set := range map[*dsrDaemon]*dsrsettings.Settings{d1: first, d2: second} {
+				applied(d, revision)
+				keepsFlow(set.DataAddress)
+				var tokens []uint32
+				d.mu.Lock()
+				for _, l := range d.engine.Registry.Hosts("standdesk") {
+					tokens = append(tokens, l.Token)
+				}
+				d.mu.Unlock()
+				is.Equal(tokens, []uint32{syn.Token})
+			}
+		})
+	}
+}
+
 // Guards against a daemon that cannot start during an outage of the store, although another daemon is running.
 func TestDSRStartsWithoutStore(t *testing.T) {
 	s := newDSRSite(t, "i-1")
