Add a failing test of a live server without an entry that counts as replaced

The entry of a live server is removed because its reports are late, and the late report of a former server at its address, or of its former start, is listed. A daemon that starts then learns of the live server from another daemon. registry.AddRetired compares the positions in the store only, takes the live server for replaced and resets its flows.

--- a/cmd/masticspard/dsr_test.go
+++ b/cmd/masticspard/dsr_test.go
@@ -565,6 +565,45 @@
 	}
 }
 
+// Guards against resetting the open flows of a live server whose entry was removed, because its own reports are late: a
+// daemon that starts then knows only the late report of a former server, and learns of the live one from another daemon.
+func TestDSRKeepsFlowsOfServerWithoutEntryAfterLateReport(t *testing.T) {
+	for _, former := range []string{"i-1", "i-2"} {
+		t.Run(former, func(t *testing.T) {
+			is := is.New(t)
+			s := newDSRSite(t)
+			server := s.listenUDP("127.0.0.1:0")
+			report := func(name string, started int64) uint64 {
+				return s.store.Put(wire.HostKey(name), wire.HostEntry(&registry.Host{
+					Service: "standdesk", Address: server.LocalAddr().(*net.UDPAddr).AddrPort(), AvailabilityZone: "wa-perth",
+					Slots: 2, Started: started, Sequence: 1,
+				}))
+			}
+			report("i-2", 2000)
+			first := s.settings("entry-1")
+			d1, _ := s.start(first)
+			s.waitFor("ready", isReady(first))
+			s.store.Delete(wire.HostKey("i-2"))
+			late := report(former, 1000)
+			s.waitFor("the late report", func() bool { return d1.replica.Position().Revision == late })
+			second := s.settings("entry-2", first.PeerAddress)
+			// Contacts get the port of the own peer address, so the daemons need different IP addresses.
+			second.PeerAddress = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), first.PeerAddress.Port())
+			_, logs := s.start(second)
+			s.waitFor("ready", isReady(second))
+			token := registry.NewToken("i-2", 2000)
+			for _, set := range []*dsrsettings.Settings{first, second} {
+				s.send(set.DataAddress, 4000, conntrack.Packet{ACK: true, Token: token, Sequence: 1})
+				is.True(s.receive(s.caller, time.Second) == nil) // The flow must not be reset.
+				p, number := s.packet(s.receive(server, dsrTimeout))
+				is.Equal(p.Token, token)
+				is.Equal(number, uint64(2))
+			}
+			is.Equal(logs.FilterMessage("former-server-learned").Len(), 1)
+		})
+	}
+}
+
 // Guards against a daemon that cannot start during an outage of the store, although another daemon is running.
 func TestDSRStartsWithoutStore(t *testing.T) {
 	s := newDSRSite(t, "i-1")
