soak: execute reports of servers late while servers crash and start again

The soak wrote each server once, and its store executed every write at once, so it could not find live servers that count as replaced after a late report.

A crashed server reports until the end of the fault, so that its address is reused while its entry exists, as before. A restored store appears at the end of its outage, so that its outdated entries stay as long after the outage as before.

--- a/Makefile
+++ b/Makefile
@@ -33,11 +33,13 @@
 SEED ?= 1
 DURATION ?= 10s
 RESTORE_FAULTS := store-restored,server-leaves,store-restored,kill,store-restored,server-crashes
+LATE_FAULTS := late-reports,late-reports,late-reports,kill,late-reports
 soak:
 	@mkdir -p bin
 	@go build -o bin/ ./cmd/soak ./cmd/masticspard
 	@bin/soak --seed $(SEED) --duration $(DURATION)
 	@bin/soak --seed $(SEED) --faults $(RESTORE_FAULTS)
+	@bin/soak --seed $(SEED) --faults $(LATE_FAULTS)
 
 # The mode with owners, then the token mode on stand-ins of the users' platform.
 demo: build
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -26,8 +26,6 @@
 	seriesFaultTime = 1500 * time.Millisecond
 	// leavingServeTime is how long a server keeps serving after it was published as leaving.
 	leavingServeTime = drainBound + time.Second
-	// crashedEntryTTL is the time from the end of the fault until the registry entry of a crashed server is removed.
-	crashedEntryTTL = 3600 * time.Millisecond
 	// addressReuseDelay is the time from the end of the fault until a new server uses the address of a crashed one.
 	addressReuseDelay = 2 * time.Second
 	// stopTimeout is the time in which a daemon must exit after SIGTERM: the default stop timeout of the settings, plus
@@ -40,6 +38,13 @@
 	// maxRestoreOutage limits the outage before a restored store replies. rewriteTime is the time in which the servers
 	// write their entries again.
 	maxRestoreOutage, rewriteTime = 2 * time.Second, 2 * time.Second
+	// lateShare is the share of the reports that the store executes late, by minLateness to maxLateness.
+	lateShare                = 0.35
+	minLateness, maxLateness = time.Second, 6 * time.Second
+	// restartTime is the time from a crash until the next server starts at the address while reports are late.
+	// minLifeTime and maxLifeTime limit the time until that one crashes.
+	restartTime              = 500 * time.Millisecond
+	minLifeTime, maxLifeTime = 300 * time.Millisecond, 1500 * time.Millisecond
 	// storeRecoveryTime is the time from the end of a proxy fault until the disturbance of its daemon ends. It is longer
 	// than the watch timeout, so the daemon has detected a lost reply by then.
 	storeRecoveryTime = 4 * time.Second
@@ -69,6 +74,7 @@
 		{"server-cut", s.partitionServer},
 		{"route", s.changeRoute},
 		{"slow", s.slowDaemon},
+		{"late-reports", s.delayReports},
 	}
 }
 
@@ -78,7 +84,7 @@
 	var group sync.WaitGroup
 	for time.Now().Before(end) {
 		f := kinds[random.IntN(len(kinds))]
-		length := minFaultTime + time.Duration(random.Int64N(int64(maxFaultTime-minFaultTime)))
+		length := randomDuration(random, minFaultTime, maxFaultTime)
 		if stop := f.start(random, length); stop != nil {
 			s.faults[f.name]++
 			group.Go(func() {
@@ -245,7 +251,7 @@
 }
 
 // restoreStore copies the store, and restores it from this copy at the end of the fault. The operators and the servers
-// then write again what was lost, and the entries of servers that have ended expire.
+// then write again what was lost, and the entries of servers that have ended are removed again.
 func (s *site) restoreStore(random *rand.Rand, _ time.Duration) func() {
 	backup := s.store.Backup()
 	outage := time.Duration(random.Int64N(int64(maxRestoreOutage)))
@@ -255,71 +261,90 @@
 		time.Sleep(readTime)
 		s.checker.disturbStore(time.Now().Add(outage + rewriteTime))
 		s.store.SetFaults(store.Faults{DropConnection: true})
+		time.Sleep(outage)
 		s.store.Restore(backup)
 		s.changeRoute(own, 0)
-		time.Sleep(outage)
 		s.store.SetFaults(store.Faults{})
 		servers := s.allServers()
 		for _, v := range servers {
 			if v.Stopped() {
 				continue
 			}
-			s.publishServer(v)
+			s.report(v, 0)
 			time.Sleep(rewriteTime / time.Duration(2*len(servers)))
 		}
-		time.Sleep(crashedEntryTTL - rewriteTime/2)
-		for _, v := range s.allServers() {
-			if v.Stopped() {
-				s.store.Delete(wire.HostKey(v.Name))
-			}
-		}
 	}
 }
 
-// randomServer returns a server that is neither leaving nor the last one of its service.
+// randomServer returns a server that no fault will stop and that is not the last such one of its service, or nil.
 func (s *site) randomServer(random *rand.Rand) *server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	list := s.spareServers()
+	if len(list) == 0 {
+		return nil
+	}
+	return list[random.IntN(len(list))]
+}
+
+// chooseServer returns a server like randomServer, for a fault that stops it. A server other than nil that is given and
+// can be chosen is chosen half of the times.
+func (s *site) chooseServer(random *rand.Rand, given *server) *server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.spareServers()
+	if slices.Contains(list, given) && random.IntN(2) == 0 {
+		list = []*server{given}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	v := list[random.IntN(len(list))]
+	v.ending = true
+	return v
+}
+
+// spareServers returns the servers that no fault will stop, except the last such one of a service. s.mu must be locked.
+func (s *site) spareServers() []*server {
 	left := map[string]int{}
 	var list []*server
 	for _, v := range s.servers {
-		if !v.Leaving && !v.Stopped() {
+		if !v.ending {
 			left[v.Service]++
 			list = append(list, v)
 		}
 	}
 	list = slices.DeleteFunc(list, func(v *server) bool { return left[v.Service] < 2 })
 	slices.SortFunc(list, func(a, b *server) int { return int(a.Number) - int(b.Number) })
-	if len(list) == 0 {
-		return nil
-	}
-	return list[random.IntN(len(list))]
+	return list
 }
 
 // drainServer publishes a server as leaving, stops it after leavingServeTime and replaces it.
 func (s *site) drainServer(random *rand.Rand, _ time.Duration) func() {
-	v := s.randomServer(random)
+	v := s.chooseServer(random, nil)
 	if v == nil {
 		return nil
 	}
 	s.mu.Lock()
 	v.Leaving = true
 	s.mu.Unlock()
-	s.publishServer(v)
+	s.report(v, 0)
 	s.checker.publishLeaving(v.Name)
 	return func() {
 		time.Sleep(leavingServeTime)
 		// The server stays disturbed until the end of the run, because it does not return.
 		s.checker.disturbServer(v.Name, time.Now().Add(time.Hour))
 		v.stop()
+		s.silence(v)
 		s.store.Delete(wire.HostKey(v.Name))
 		s.replace(v, v.Service)
 	}
 }
 
-// crashServer stops a server without removing its registry entry. The address is reused while the entry still exists.
+// crashServer stops a server, whose reports go on until the end of the fault. The address is reused while the entry
+// still exists.
 func (s *site) crashServer(random *rand.Rand, _ time.Duration) func() {
-	v := s.randomServer(random)
+	v := s.chooseServer(random, nil)
 	if v == nil {
 		return nil
 	}
@@ -327,20 +352,70 @@
 	s.checker.disturbServer(v.Name, time.Now().Add(time.Hour))
 	v.stop()
 	return func() {
+		s.silence(v)
 		time.Sleep(addressReuseDelay)
 		s.replace(v, service)
-		time.Sleep(crashedEntryTTL - addressReuseDelay)
-		s.store.Delete(wire.HostKey(v.Name))
 	}
 }
 
 // replace starts a new server at the address of a stopped one.
-func (s *site) replace(v *server, service string) {
-	if err := s.addServer(service, v.Address); err != nil {
+func (s *site) replace(v *server, service string) *server {
+	next, err := s.addServer(service, v.Address)
+	return s.checkStart(v, next, err)
+}
+
+// checkStart returns the server that was started at the address of v, or records a violation and returns nil.
+func (s *site) checkStart(v, next *server, err error) *server {
+	if err != nil {
 		s.checker.mu.Lock()
+		defer s.checker.mu.Unlock()
 		s.checker.addViolation("a server at %v did not start: %v", v.Address, err)
-		s.checker.mu.Unlock()
+		return nil
 	}
+	return next
+}
+
+// delayReports lets the store execute a share of the reports late, until the end of the fault. Meanwhile servers crash
+// with a late report outstanding, and start again at the same address under another or the same name.
+func (s *site) delayReports(random *rand.Rand, _ time.Duration) func() {
+	own := rand.New(rand.NewPCG(random.Uint64(), 0)) // The crashes run beside the plan, which uses random.
+	s.mu.Lock()
+	s.lateFaults++
+	s.mu.Unlock()
+	done, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for v := s.chooseServer(own, nil); v != nil; v = s.chooseServer(own, v) {
+			v = s.restartServer(own, v)
+			select {
+			case <-done:
+				return
+			case <-time.After(randomDuration(own, minLifeTime, maxLifeTime)):
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		<-stopped
+		s.mu.Lock()
+		s.lateFaults--
+		s.mu.Unlock()
+	}
+}
+
+// restartServer lets a server crash whose last report is executed late, and starts the next one at its address, under the
+// same name or as a new server. It returns the next server, or nil after an error.
+func (s *site) restartServer(random *rand.Rand, v *server) *server {
+	s.report(v, randomDuration(random, minLateness, maxLateness))
+	s.silence(v)
+	v.stop()
+	time.Sleep(restartTime)
+	if random.IntN(2) == 0 {
+		next, err := s.startServer(v.Host)
+		return s.checkStart(v, next, err)
+	}
+	s.checker.disturbServer(v.Name, time.Now().Add(time.Hour))
+	return s.replace(v, v.Service)
 }
 
 // partitionServer drops all packets from one daemon to one server.
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -48,6 +48,7 @@
 	maxMisses    = 2                      // consecutive failed checks after which a daemon receives no packets
 	readyTimeout = 20 * time.Second       // maximum time until all daemons are ready
 	workTime     = 15 * time.Millisecond  // mean service time of a request
+	reportPeriod = 1200 * time.Millisecond
 )
 
 var services = []string{"standdesk", "photointake"}
@@ -66,13 +67,17 @@
 	servers      map[string]*server     // by name
 	blockedPaths map[[2]netip.Addr]bool // from daemon to server
 	config       registry.Configuration
-	number       int // of the server that was started last
+	number       int        // of the server that was started last
+	lateFaults   int        // active faults that delay reports
+	lateness     *rand.Rand // of reports while lateFaults is greater than zero
 }
 
-// server is a backend server and the function that stops it.
+// server is a backend server and the function that stops it. Its other fields are protected by site.mu.
 type server struct {
 	backend.Server
-	stop func()
+	stop   func()
+	silent bool // whether it reports no more
+	ending bool // whether a fault has chosen it and will stop it
 }
 
 // daemon is an entry VM: its process and its proxy to the store.
@@ -96,6 +101,7 @@
 	s := &site{
 		options: o, subnet: byte(10 + o.Seed%200), checker: newChecker(), store: &store.Server{}, faults: map[string]int{},
 		servers: map[string]*server{}, blockedPaths: map[[2]netip.Addr]bool{},
+		lateness: rand.New(rand.NewPCG(o.Seed, 1<<33)),
 	}
 	s.checker.holder = s.holder
 	stop, err := cleanup.Start(s.startStore, s.startServers, s.startDaemons, s.startRouter)
@@ -140,7 +146,8 @@
 
 func (s *site) startServers() (func(), error) {
 	for i := range s.Servers {
-		if err := s.addServer(services[i%len(services)], netip.AddrPortFrom(s.ip(serverNet, i), serverPort)); err != nil {
+		address := netip.AddrPortFrom(s.ip(serverNet, i), serverPort)
+		if _, err := s.addServer(services[i%len(services)], address); err != nil {
 			return nil, err
 		}
 	}
@@ -153,17 +160,23 @@
 
 func zoneOf(i int) string { return fmt.Sprint("zone-", i%2) }
 
-// addServer starts a server and adds it to the registry.
-func (s *site) addServer(service string, address netip.AddrPort) error {
+// addServer starts a server with a new name and adds it to the registry.
+func (s *site) addServer(service string, address netip.AddrPort) (*server, error) {
 	s.mu.Lock()
 	s.number++
-	number := s.number
+	number := uint64(0x1000 + s.number)
 	s.mu.Unlock()
+	return s.startServer(registry.Host{
+		Name: fmt.Sprintf("i-%x", number), Number: number, Service: service, Address: address,
+		AvailabilityZone: zoneOf(int(address.Addr().As4()[3])), Slots: 2,
+	})
+}
+
+// startServer starts a server, which may have been started before under the same name, and lets it report.
+func (s *site) startServer(h registry.Host) (*server, error) {
 	v := &server{}
-	v.Host = registry.Host{
-		Name: fmt.Sprintf("i-%x", 0x1000+number), Number: uint64(0x1000 + number), Service: service, Address: address,
-		AvailabilityZone: zoneOf(int(address.Addr().As4()[3])), Slots: 2, Started: time.Now().UnixMilli(),
-	}
+	v.Host = h
+	v.Started, v.Sequence = time.Now().UnixMilli(), 0
 	v.CallerPort, v.ServiceTime = dataPort, workTime
 	v.OnOpen, v.OnRequest = s.checker.flowArrived, func(b *backend.Server, _ netip.AddrPort, request string) {
 		s.checker.requestExecuted(b, request)
@@ -171,26 +184,61 @@
 	v.Drop = func(from netip.Addr) bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.blockedPaths[[2]netip.Addr{from, address.Addr()}]
+		return s.blockedPaths[[2]netip.Addr{from, h.Address.Addr()}]
 	}
 	stop, err := v.Start()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	v.stop = sync.OnceFunc(stop)
 	s.mu.Lock()
 	s.servers[v.Name] = v
 	s.mu.Unlock()
-	s.publishServer(v)
-	return nil
+	s.tb.Go(func() error {
+		for s.report(v, s.reportDelay()) {
+			select {
+			case <-time.After(reportPeriod):
+			case <-s.tb.Dying():
+				return nil
+			}
+		}
+		return nil
+	})
+	return v, nil
 }
 
-// publishServer writes the next report of a server to the store.
-func (s *site) publishServer(v *server) {
+// report sends the next report of a server to the store, which executes it after a delay. It reports whether the server
+// reports at all.
+func (s *site) report(v *server, delay time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if v.silent {
+		return false
+	}
 	v.Sequence++
-	s.store.Put(wire.HostKey(v.Name), wire.HostEntry(&v.Host))
+	s.store.PutReport(&v.Host, delay)
+	return true
+}
+
+// reportDelay returns the delay of the next periodic report.
+func (s *site) reportDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lateFaults == 0 || s.lateness.Float64() >= lateShare {
+		return 0
+	}
+	return randomDuration(s.lateness, minLateness, maxLateness)
+}
+
+func randomDuration(random *rand.Rand, least, limit time.Duration) time.Duration {
+	return least + time.Duration(random.Int64N(int64(limit-least)))
+}
+
+// silence ends the reports of a server.
+func (s *site) silence(v *server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v.silent = true
 }
 
 func (s *site) allServers() (list []*server) {
