Require a prompt path before flows of removed servers are reset

The evidence about the path that guards resets of silent servers now guards these as well: another server answered a later request, and no response was late or needed a retransmission. The test that any other server has responded is covered by it and is removed.

--- a/internal/dsr/loss.go
+++ b/internal/dsr/loss.go
@@ -31,7 +31,6 @@
 	removed       bool          // the entry of the server was removed while the store was available
 	removedFor    time.Duration // time since the removal
 	silentFor     time.Duration // time since the last response of the server to any flow
-	othersRespond bool          // other servers respond, so the link of this entry VM works
 	waited        time.Duration // time since the request arrived
 	repeats       int           // retransmissions of the request that arrived here
 	targetLatency time.Duration // of the route
@@ -45,7 +44,7 @@
 	case !v.idempotent:
 		return ""
 	case v.removed && v.removedFor >= removedTimeout && v.silentFor >= max(removedTimeout, v.waited) &&
-		v.repeats >= minRepeats && v.othersRespond:
+		v.repeats >= minRepeats && v.promptServers > 0:
 		return ReasonHostRemoved
 	case v.waited >= max(silentTimeout, silentTargets*v.targetLatency) && v.silentFor >= v.waited &&
 		v.repeats >= minRepeats && v.promptServers >= minPromptServers:
@@ -66,9 +65,8 @@
 	}
 	v := lossEvidence{
 		idempotent: r.Idempotent, removed: l.Removed, removedFor: now - l.Since,
-		silentFor:     e.Placement.Load(now, l.Token).SinceResponse,
-		othersRespond: e.Placement.OtherAlive(now, l.Token),
-		waited:        now - since, repeats: repeats, targetLatency: r.TargetLatency,
+		silentFor: e.Placement.Load(now, l.Token).SinceResponse,
+		waited:    now - since, repeats: repeats, targetLatency: r.TargetLatency,
 		promptServers: e.path.prompt(now, since, l.Token),
 	}
 	return v.reason()
--- a/internal/dsr/path_test.go
+++ b/internal/dsr/path_test.go
@@ -179,7 +179,7 @@
 func TestLossNeedsAllEvidence(t *testing.T) {
 	is := is.New(t)
 	complete := lossEvidence{
-		idempotent: true, silentFor: 2 * time.Second, othersRespond: true, waited: 1400 * time.Millisecond, repeats: 3,
+		idempotent: true, silentFor: 2 * time.Second, waited: 1400 * time.Millisecond, repeats: 3,
 		targetLatency: 400 * time.Millisecond, promptServers: minPromptServers,
 	}
 	is.Equal(complete.reason(), ReasonHostSilent)
@@ -198,17 +198,17 @@
 		}
 	}
 	complete = lossEvidence{
-		idempotent: true, removed: true, removedFor: removedTimeout, silentFor: 600 * time.Millisecond, othersRespond: true,
-		waited: 600 * time.Millisecond, repeats: minRepeats,
+		idempotent: true, removed: true, removedFor: removedTimeout, silentFor: 600 * time.Millisecond,
+		waited: 600 * time.Millisecond, repeats: minRepeats, promptServers: 1,
 	}
 	is.Equal(complete.reason(), ReasonHostRemoved)
 	for name, change := range map[string]func(*lossEvidence){
-		"requests must not be repeated": func(v *lossEvidence) { v.idempotent = false },
-		"listed":                        func(v *lossEvidence) { v.removed = false },
-		"just removed":                  func(v *lossEvidence) { v.removedFor = removedTimeout - 1 },
-		"server responded meanwhile":    func(v *lossEvidence) { v.silentFor = 500 * time.Millisecond },
-		"one retransmission":            func(v *lossEvidence) { v.repeats = minRepeats - 1 },
-		"no server responds":            func(v *lossEvidence) { v.othersRespond = false },
+		"requests must not be repeated":  func(v *lossEvidence) { v.idempotent = false },
+		"listed":                         func(v *lossEvidence) { v.removed = false },
+		"just removed":                   func(v *lossEvidence) { v.removedFor = removedTimeout - 1 },
+		"server responded meanwhile":     func(v *lossEvidence) { v.silentFor = 500 * time.Millisecond },
+		"one retransmission":             func(v *lossEvidence) { v.repeats = minRepeats - 1 },
+		"path is delayed, lossy or idle": func(v *lossEvidence) { v.promptServers = 0 },
 	} {
 		v := complete
 		change(&v)
--- a/internal/placement/liveness.go
+++ b/internal/placement/liveness.go
@@ -113,14 +113,3 @@
 	}
 	return false
 }
-
-// OtherAlive reports whether a server other than the one with the given token has responded within aliveWindow. If none
-// has, the link of this entry VM may be down.
-func (m *Model) OtherAlive(now time.Duration, token uint32) bool {
-	for other, o := range m.loads {
-		if other != token && o.aliveAt > 0 && now-o.aliveAt < aliveWindow {
-			return true
-		}
-	}
-	return false
-}
