Take the state of another entry VM when changes since a gap do not arrive in time

With a large configuration that changes often the reply has each of its versions, so the call never succeeds and starts over each time.

It was taken before only while the own state was incomplete. Ruled out: a longer time limit, which the next version outgrows.

TestChangesThatTakeTooLongComeFromPeer failed before.

--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -92,6 +92,9 @@
 		r.reportRestore(at)
 	}
 	r.Adopt(page.Changes, at, complete)
+	if complete && r.isSynced() {
+		r.Advance(at)
+	}
 	if complete && (!r.isSynced() || at.Era > r.Position().Era) {
 		r.complete(at)
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -455,11 +455,13 @@
 	return r.synced
 }
 
-// catchUp reads the changes since the current position. A call that fails is repeated.
+// catchUp reads the changes since the current position. If the call fails, it is repeated after the snapshot of another
+// process: the reply has each version of the configuration since then, and may be too large for the link of a small VM.
 func (r *Replica) catchUp(ctx context.Context) time.Duration {
 	delay, err := r.readChanges(ctx, catchUpWait)
 	if err != nil {
 		r.CatchUp()
+		r.adoptPeer(ctx)
 	}
 	return delay
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -625,3 +625,15 @@
 	s.expect(t, "apply")
 	is.True(<-waits <= c.WatchTimeout-c.BatchDelay)
 }
+
+// Guards against an entry VM that never gets the changes since a gap, because they do not fit through its link in time.
+func TestChangesThatTakeTooLongComeFromPeer(t *testing.T) {
+	s := newStubStore()
+	s.reader = false
+	c := s.config()
+	c.ReadPeer = func(context.Context) (Page, error) { return Page{Revision: 20}, nil }
+	r := s.follow(t, c)
+	r.CatchUp() // The call gets no reply.
+	s.expect(t, "lost", "adopt")
+	expectRevision(t, r, 20)
+}
