--- a/internal/registry/deferral.go
+++ b/internal/registry/deferral.go
@@ -30,8 +30,8 @@
 	addressInUse          // another server with a later start has its address
 )
 
-// conflict returns why the report of a listed server may be outdated, and the lifetime that it contradicts.
-func (r *Registry) conflict(c *Change) (conflict, *Lifetime) {
+// findConflict returns why the report of a listed server may be outdated, and the lifetime that it contradicts.
+func (r *Registry) findConflict(c *Change) (conflict, *Lifetime) {
 	h := c.Host
 	if l := r.names[h.Name]; l != nil {
 		// Leaving is final for a start, so a report that it leaves is never outdated. The removal of an entry is not final,
@@ -54,7 +54,7 @@
 // list applies the report of a listed server, or defers it if it may be outdated.
 func (r *Registry) list(now time.Duration, c *Change) bool {
 	r.initMaps()
-	if kind, other := r.conflict(c); kind != noConflict {
+	if kind, other := r.findConflict(c); kind != noConflict {
 		return r.deferHost(now, c, kind, other)
 	}
 	delete(r.deferred, c.Name)
@@ -138,7 +138,7 @@
 		if r.deferred[d.Name] != d {
 			continue // Applying another one has replaced it.
 		}
-		if kind, other := r.conflict(&d.Change); kind != noConflict {
+		if kind, other := r.findConflict(&d.Change); kind != noConflict {
 			l := d.lifetime
 			if l.State == StateGone && r.replaces(other, l) {
 				r.markReplaced(l, other)
