Pass on how long ago the store confirmed the state, and read in turn when that is too long

Cause: an announcement did not say when the store had last replied. A reader whose call is silent repeated its last revision every 500 ms until its watch timed out (3.7 to 4.7 s), and each repetition counted as a sign that the readers work; only 1.7 s after the last one the others turned to the store.

Ruled out: the store itself (calm, serves the others), gaps in the changes (no line announcement-gap on the VMs concerned), a shorter watch timeout alone (announcements would still hide the silence, and it costs calls in zones that need none).

A state is confirmed only if no change and no configuration is missing. Readers with followers confirm at least every 0.4 bounds. Followers whose state is older than 0.5 to 0.65 bounds poll the store in the order of their ranks, 1, 1, 2, 4, ... at a time, and announce the reply; a poll that fails is repeated after 0.5 to 1 bounds. A state is fetched from another VM only if it is younger.

Tests whose interface changed: the ones that checked 1.7 s without announcements now check the age, against bounds that follow from Group.Bound; TestDSRStartsWithStateOfAnotherEntryVM lets the store go silent instead of changing a field.

--- a/cmd/masticspard/dsr.go
+++ b/cmd/masticspard/dsr.go
@@ -47,7 +47,6 @@
 
 	stopTimeout time.Duration
 	eventCounts [flowevent.Repeated + 1]metrics.Counter // by kind
-	lastUpdate  time.Duration                           // time of the last store reply or announcement
 }
 
 // eventCounterNames are the names of the counters of flow events, by kind.
--- a/cmd/masticspard/dsr_log.go
+++ b/cmd/masticspard/dsr_log.go
@@ -55,7 +55,7 @@
 	fields := []zap.Field{
 		zap.Stringer("caller", p.Caller), zap.Stringer("service-address", p.Service), zap.Uint32("token", p.Token),
 		zap.Bool("syn", p.SYN), zap.Uint64("configuration", d.engine.Registry.Version()),
-		zap.Duration("picture-age", now-d.lastUpdate),
+		zap.Duration("picture-age", d.age()),
 	}
 	if v.Reason != "" {
 		fields = append(fields, zap.String("reason", v.Reason))
--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -76,7 +76,9 @@
 		CrossZoneRounds: crossZoneRounds, Seed: uint64(started.UnixNano()),
 		Send: p.sendMembership, Changed: p.handleMemberChange, Counters: counters, Logger: log,
 	}
-	p.group = announce.Group{Self: s.Name, AvailabilityZone: s.AvailabilityZone, Send: p.sendAnnouncement}
+	p.group = announce.Group{
+		Self: s.Name, AvailabilityZone: s.AvailabilityZone, Bound: s.Bound(), Send: p.sendAnnouncement,
+	}
 	p.bootstrap = bootstrap.Agent{
 		Address: s.PeerAddress, AvailabilityZone: s.AvailabilityZone, Size: p.list.Self.Size, Seed: p.list.Seed,
 		Contacts: contacts(s),
@@ -183,12 +185,13 @@
 	if d.replica == nil || !r.Complete() {
 		return nil
 	}
-	if maxAge > 0 && (!d.replica.Consistent() || d.timer.Now()-d.lastUpdate > maxAge) {
+	at, age, consistent := d.replica.Position(), d.age(), d.replica.Consistent()
+	if maxAge > 0 && (!consistent || age > maxAge) {
 		return nil
 	}
-	at := d.replica.Position()
 	return &snapshot.Snapshot{
 		Era: at.Era, Revision: at.Revision, Servers: r.Changes(), Configuration: r.Configuration(),
+		Confirmed: consistent, Age: age,
 	}
 }
 
@@ -199,15 +202,22 @@
 	return d.engine.Registry.Configuration()
 }
 
-// fetchSnapshot fetches a snapshot from other entry VMs, one after the other, and returns the first that succeeds.
+// fetchSnapshot fetches a snapshot from other entry VMs, one after the other, and returns the first that succeeds. If this
+// entry VM has a complete state, the snapshot is younger.
 func (d *dsrDaemon) fetchSnapshot(ctx context.Context) (replica.Page, error) {
 	err := errors.New("fetch snapshot: no other entry VM available")
 	d.mu.Lock()
 	sources := d.sources()
+	maxAge, complete := d.replica.Age()
 	d.mu.Unlock()
+	if complete {
+		maxAge = max(maxAge, time.Millisecond)
+	} else {
+		maxAge = 0
+	}
 	for _, address := range sources {
 		var p *snapshot.Snapshot
-		if p, err = snapshot.Fetch(ctx, address, 0); err != nil {
+		if p, err = snapshot.Fetch(ctx, address, maxAge); err != nil {
 			continue
 		}
 		return d.newPage(address, p), nil
@@ -235,7 +245,11 @@
 func (d *dsrDaemon) newPage(source netip.AddrPort, s *snapshot.Snapshot) replica.Page {
 	d.log.Info("picture-of-peer", zap.Stringer("source", source), zap.Uint64("era", s.Era), zap.Uint64("revision", s.Revision),
 		zap.Uint64("version", s.Configuration.Version), zap.Int("servers", len(s.Servers)))
-	return replica.Page{Changes: s.Changes(), Era: s.Era, Revision: s.Revision}
+	p := replica.Page{Changes: s.Changes(), Era: s.Era, Revision: s.Revision}
+	if s.Confirmed {
+		p.ConfirmedAt = max(0, d.timer.Now()-s.Age)
+	}
+	return p
 }
 
 // sources returns up to maxSources entry VMs in random order: at most one of each availability zone, the own zone
@@ -322,13 +336,10 @@
 // handleAnnouncement applies an announcement, and starts a read of the store when the announcement requires one.
 func (d *dsrDaemon) handleAnnouncement(now time.Duration, m *announce.Message) {
 	at := d.replica.Position()
-	switch {
-	case m.Era < at.Era:
+	if m.Era < at.Era {
 		d.counters.Add("announcements-outdated", 1)
 		d.log.Info("announcement-outdated", zap.String("source", m.From), zap.Uint64("era", m.Era),
 			zap.Uint64("revision", m.Revision), zap.Uint64("own-era", at.Era), zap.Uint64("own-revision", at.Revision))
-	case m.Era == at.Era:
-		d.lastUpdate = now
 	}
 	a := d.peers.group.Handle(now, m, at, d.engine.Registry.Version())
 	if a.NeedsState {
@@ -347,6 +358,9 @@
 		d.replica.Advance(a.Position)
 		d.counters.Add("announcements-applied", 1)
 	}
+	if a.ConfirmedAt > 0 {
+		d.replica.Confirm(a.ConfirmedAt)
+	}
 	if a.NeedsRead {
 		d.counters.Add("store-retry-announcement-gap", 1)
 		d.replica.CatchUp()
--- a/cmd/masticspard/dsr_store.go
+++ b/cmd/masticspard/dsr_store.go
@@ -23,8 +23,9 @@
 	defer d.mu.Unlock()
 	c := replica.Config{
 		Read: client.Read, Watch: client.Watch, ReadConfiguration: client.Configuration, Now: d.timer.Now,
-		WatchTimeout: d.settings.WatchTimeout(),
+		WatchTimeout: d.watchTimeout,
 		BatchDelay:   time.Duration(batchDelayShare * float64(d.settings.Bound())),
+		MaxPollDelay: d.settings.Bound(),
 		ReadPeer:     d.fetchSnapshot,
 		Adopt:        d.adopt,
 		Replace:      d.replace,
@@ -38,6 +39,7 @@
 	if d.peers != nil {
 		c.ReadPeerConfiguration = d.fetchConfiguration
 		c.ReadPeerState = d.fetchState
+		c.PollDelay = d.pollDelay
 		c.Bootstrap = func(ctx context.Context) (replica.Page, error) { return d.bootstrap(ctx, client.IsSmall) }
 	}
 	r, stop := replica.New(c)
@@ -59,6 +61,38 @@
 	return d.peers == nil || d.peers.group.ShouldRead(d.timer.Now())
 }
 
+// watchTimeout returns how long the store may delay its reply to a watch.
+func (d *dsrDaemon) watchTimeout() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.peers == nil {
+		return d.settings.WatchTimeout()
+	}
+	return d.peers.group.WatchTimeout(d.settings.WatchTimeout())
+}
+
+// pollDelay returns how long this entry VM, whose state has the given age, waits until it stands in for the readers of its
+// zone. It logs when it does.
+func (d *dsrDaemon) pollDelay(age time.Duration) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delay := d.peers.group.PollAge() - age
+	if delay <= 0 {
+		d.log.Info("store-polled", zap.Duration("picture-age", age))
+		d.peers.group.StandIn()
+	}
+	return delay
+}
+
+// age returns how long ago the store confirmed the state of this entry VM; d.mu must be held.
+func (d *dsrDaemon) age() time.Duration {
+	if d.replica == nil {
+		return d.timer.Now()
+	}
+	age, _ := d.replica.Age()
+	return age
+}
+
 // storeLost logs the start of an outage of the store and reports it to the announcement group.
 func (d *dsrDaemon) storeLost(reason error) {
 	d.log.Warn("store-lost", zap.String("reason", reason.Error()))
@@ -85,19 +119,21 @@
 
 // replace replaces the registry with a full read of the store. storeDown reports whether the store was recently
 // unavailable or restored.
-func (d *dsrDaemon) replace(changes []registry.Change, at history.Position, storeDown bool) {
+func (d *dsrDaemon) replace(
+	changes []registry.Change, at history.Position, confirmedAt time.Duration, storeDown bool,
+) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.update(changes, func(now time.Duration) { d.engine.Registry.Replace(now, changes, at, storeDown) })
 	d.log.Info("picture-read", zap.Int("entries", len(changes)), zap.Uint64("era", at.Era),
 		zap.Uint64("revision", at.Revision), zap.Bool("away", storeDown))
-	if d.peers != nil {
-		d.peers.group.Publish(at.Revision, at, d.engine.Registry.Version(), nil)
-	}
+	d.publish(at.Revision, at, confirmedAt, nil)
 }
 
 // apply applies changes of the store to the registry and announces them to other entry VMs.
-func (d *dsrDaemon) apply(changes []registry.Change, since, at history.Position, storeDown bool) {
+func (d *dsrDaemon) apply(
+	changes []registry.Change, since, at history.Position, confirmedAt time.Duration, storeDown bool,
+) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(changes) > 0 {
@@ -109,12 +145,24 @@
 			d.engine.Registry.Apply(now, c, storeDown)
 		}
 	})
-	if d.peers != nil {
-		d.peers.group.Publish(since.Revision, at, d.engine.Registry.Version(), changes)
+	d.publish(since.Revision, at, confirmedAt, changes)
+}
+
+// publish passes what the store replied to the announcement group. Confirmations, and the changes that a stand-in has read,
+// are announced at once, because others wait for them; a reader's changes are paced.
+func (d *dsrDaemon) publish(since uint64, at history.Position, confirmedAt time.Duration, changes []registry.Change) {
+	if d.peers == nil {
+		return
+	}
+	g, now := &d.peers.group, d.timer.Now()
+	g.Publish(since, at, confirmedAt, d.engine.Registry.Version(), changes)
+	if len(changes) == 0 || !g.ShouldRead(now) {
+		g.Tick(now)
+		d.peers.socket.Flush()
 	}
 }
 
-// adopt applies the snapshot of another entry VM. The snapshot is not announced, because its age is unknown. Servers
+// adopt applies the snapshot of another entry VM. The snapshot is not announced; its source announces the same. Servers
 // that are missing from a complete snapshot may have lapsed there, so they lapse here, too.
 func (d *dsrDaemon) adopt(changes []registry.Change, at history.Position, complete bool) {
 	d.mu.Lock()
@@ -143,17 +191,17 @@
 	}
 	r := &d.engine.Registry
 	before := r.Version()
-	d.lastUpdate = d.timer.Now()
+	now := d.timer.Now()
 	func() {
 		defer d.contain("store-update", nil)
-		applyChanges(d.lastUpdate)
+		applyChanges(now)
 	}()
 	if r.Version() != before {
 		d.counters.Add("configurations-accepted", 1)
 		d.log.Info("configuration-in-force", zap.Uint64("version", r.Version()), zap.Uint64("before", before))
 	}
 	if d.peers != nil && r.Complete() {
-		d.peers.bootstrap.Synced(d.lastUpdate)
+		d.peers.bootstrap.Synced(now)
 	}
-	d.retryHeld(d.lastUpdate)
+	d.retryHeld(now)
 }
--- a/cmd/masticspard/dsr_test.go
+++ b/cmd/masticspard/dsr_test.go
@@ -324,13 +324,14 @@
 	s.waitFor("ready", isReady(set))
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	at, before := d.replica.Position(), d.lastUpdate
+	at := d.replica.Position()
 	is.Equal(at.Era, uint64(1))
-	later := before + time.Hour
-	for era := range uint64(3) {
-		d.handleAnnouncement(later, &announce.Message{From: "entry-2", Era: era, Since: at.Revision, Revision: at.Revision})
-		is.Equal(d.lastUpdate == later, era == at.Era)
-		d.lastUpdate = before
+	later := time.Hour // The confirmation is later than the clock, so that its age is 0.
+	for _, era := range []uint64{0, 2, 1} {
+		d.handleAnnouncement(later, &announce.Message{
+			From: "entry-2", Era: era, Since: at.Revision, Revision: at.Revision, Version: 1, Confirms: true,
+		})
+		is.Equal(d.age() == 0, era == at.Era)
 	}
 	is.Equal(logs.FilterMessage("announcement-outdated").Len(), 1)
 }
@@ -430,14 +431,10 @@
 	is.Equal(d2.counters.Counter("store-reads").Count(), int64(0))
 
 	is.True(d1.snapshot(time.Minute) != nil)
-	d1.mu.Lock()
-	d1.lastUpdate -= time.Hour
-	d1.mu.Unlock()
-	is.Equal(d1.snapshot(time.Minute), nil)
+	s.store.SetFaults(standin.Faults{NoReply: true})
+	s.waitFor("outdated state", func() bool { return d1.snapshot(200*time.Millisecond) == nil })
 	is.True(d1.snapshot(0) != nil)
-	d1.mu.Lock()
-	d1.lastUpdate += time.Hour
-	d1.mu.Unlock()
+	s.store.SetFaults(standin.Faults{})
 	d1.replica.Resync(false) // Its revision may not match its configuration until it has read the store again.
 	s.waitFor("consistent state", func() bool { return d1.snapshot(time.Minute) != nil })
 }
--- a/internal/announce/doc.go
+++ b/internal/announce/doc.go
@@ -2,9 +2,10 @@
 //
 // In each availability zone a few entry VMs, the readers, read the store. Each entry VM selects them by rendezvous
 // hashing, weighted by size, over the active members of the zone, so no election is needed. A reader announces changes
-// and its revision to the other entry VMs of the zone. An entry VM that receives announcements does not read the store.
-// One that has received none for 1.7 s reads for itself, so the failure or isolation of a reader, or a store that
-// refuses it, delays changes by that time only.
+// and its revision to the other entry VMs of the zone, and how long ago the store confirmed that there was nothing later.
+// Each entry VM adds the time since it received the announcement, so it knows the age of its own state. While the state is
+// young it does not read the store. When the state is too old, because the readers have failed, are cut off or get no reply,
+// the others read the store in turn and announce what they have read, so all changes are known within Group.Bound.
 //
 // Announcements are datagrams without acknowledgement. Each names the revision from which its changes are complete, and
 // the changes of the last 1.2 s are repeated. A receiver that misses changes and does not get them from the following
--- a/internal/announce/group.go
+++ b/internal/announce/group.go
@@ -20,9 +20,6 @@
 	readersPerZone = 2
 	// period is the time between two announcements without changes.
 	period = 500 * time.Millisecond
-	// announcementTimeout is the time without announcements after which an entry VM reads the store itself. Three
-	// consecutive announcements may be lost.
-	announcementTimeout = 1700 * time.Millisecond
 	// joinTime is how long an entry VM takes to learn of most members of its zone after its start.
 	joinTime = time.Second
 	// gapTimeout is how long a receiver waits for missing changes, which the next announcement repeats.
@@ -37,6 +34,8 @@
 	maxChanges = 8
 	// maxMessageBytes is the greatest size of an encoded message in bytes.
 	maxMessageBytes = 1400
+	// maxAge is the greatest age of a message in milliseconds, an hour.
+	maxAge = 3_600_000
 )
 
 // Message announces a revision of the store and the changes that lead to it.
@@ -51,6 +50,11 @@
 	Revision uint64 `cbor:"3,keyasint"`
 	// Version is the version of the sender's active configuration.
 	Version uint64 `cbor:"4,keyasint"`
+	// Confirms reports whether the store confirmed to the sender, Age ago, that nothing later than Revision existed. Neither
+	// is known of a revision between those of a list of changes that was split.
+	Confirms bool `cbor:"7,keyasint,omitempty"`
+	// Age is the time in milliseconds since that confirmation, on the clock of the sender.
+	Age uint64 `cbor:"8,keyasint,omitempty"`
 	// Changes are the changes of servers in the order of their revisions.
 	Changes []registry.Change `cbor:"5,keyasint,omitempty"`
 }
@@ -76,6 +80,9 @@
 	if m.From == "" || m.Since > m.Revision {
 		return nil, errors.New("announcement has no sender or its first revision is greater than its last")
 	}
+	if m.Age > maxAge {
+		return nil, errors.Errorf("announcement has an age of %d ms, more than the limit of %d ms", m.Age, maxAge)
+	}
 	for _, c := range m.Changes {
 		if c.Name == "" || c.Configuration != nil {
 			return nil, errors.New("announcement has a change that is not a change of a server")
@@ -90,6 +97,8 @@
 	Apply []registry.Change
 	// Position is the receiver's position after Apply; the zero value leaves it unchanged.
 	Position history.Position
+	// ConfirmedAt is when the store confirmed the receiver's state after Apply; 0 if the message does not tell.
+	ConfirmedAt time.Duration
 	// NeedsState reports whether the whole state has to be fetched from the sender, because the store was restored.
 	NeedsState bool
 	// NeedsRead reports whether the changes since the receiver's revision have to be read from the store.
@@ -103,24 +112,28 @@
 type Group struct {
 	// Self is the name of this entry VM, and AvailabilityZone is its availability zone.
 	Self, AvailabilityZone string
+	// Bound is the time within which a change of the store must take effect.
+	Bound time.Duration
 	// Send is called to send a message to other entry VMs.
 	Send func(to []member.Member, m *Message)
 
 	startedAt  time.Duration
 	zone       []member.Member // other active entry VMs of the zone
-	reader     bool
-	receivedAt time.Duration // time of the last announcement from another entry VM; initially startedAt
-	gapSince   time.Duration // time since which changes are missing; 0 if none are missing
-	era        uint64        // of the store at the last Publish
-	batches    []batch       // published changes, oldest first
-	latest     batch         // newest revision, without changes; zero while the store is unavailable
-	version    uint64        // version of the active configuration
-	announceAt time.Duration // when the next announcement is due
+	rank       int             // of this entry VM in the zone; the first ones are the readers
+	standIn    bool            // whether the next Publish is announced although this entry VM is no reader
+	gapSince   time.Duration   // time since which changes are missing; 0 if none are missing
+	era        uint64          // of the store at the last Publish
+	batches    []batch         // published changes, oldest first
+	latest     batch           // newest revision, without changes; zero while the store is unavailable
+	version    uint64          // version of the active configuration
+	announceAt time.Duration   // when the next announcement is due
 }
 
 type batch struct {
 	since, revision uint64
 	changes         []registry.Change
+	confirms        bool          // whether revision was the newest one at confirmedAt
+	confirmedAt     time.Duration // by the store
 	sent            bool
 	firstSentAt     time.Duration
 	dueAt           time.Duration // when the changes are sent again
@@ -128,9 +141,9 @@
 
 // Start records the time at which this entry VM starts. One that is alone has no other members to wait for.
 func (g *Group) Start(now time.Duration, alone bool) {
-	g.startedAt, g.receivedAt = now, now
+	g.startedAt = now
 	if alone {
-		g.startedAt, g.receivedAt = now-joinTime, now-announcementTimeout
+		g.startedAt = now - joinTime
 	}
 }
 
@@ -151,28 +164,35 @@
 			g.zone = append(g.zone, m)
 		}
 	}
-	g.reader = false
-	for _, i := range ranker.First(readersPerZone) {
-		g.reader = g.reader || names[i] == g.Self
+	g.rank = slices.IndexFunc(ranker.First(len(names)), func(i int) bool { return names[i] == g.Self })
+	if g.rank < 0 {
+		g.rank = len(names) // This entry VM is leaving.
 	}
 }
 
-// ShouldRead reports whether this entry VM has to read the store. Shortly after its start it does not know the other
+// isReader reports whether this entry VM reads the store for its zone.
+func (g *Group) isReader() bool { return g.rank < readersPerZone }
+
+// ShouldRead reports whether this entry VM has to watch the store. Shortly after its start it does not know the other
 // members of the zone yet, so it does not take itself for a reader.
 func (g *Group) ShouldRead(now time.Duration) bool {
-	return g.reader && now-g.startedAt >= joinTime || now-g.receivedAt >= announcementTimeout
+	return g.isReader() && now-g.startedAt >= joinTime
 }
 
 // Publish queues the changes after revision since up to a position of the same era, which this entry VM has read from
-// the store, for announcement. Tick announces them while this entry VM is a reader. version is the version of the active
+// the store, for announcement. Tick announces them while this entry VM is a reader, or once if it stands in for the readers.
+// confirmedAt is when the store confirmed that the position was its newest, and version is the version of the active
 // configuration.
-func (g *Group) Publish(since uint64, at history.Position, version uint64, changes []registry.Change) {
+func (g *Group) Publish(
+	since uint64, at history.Position, confirmedAt time.Duration, version uint64, changes []registry.Change,
+) {
 	if at.Era != g.era {
 		g.batches, g.era = nil, at.Era
 	}
 	g.version = version
 	revision := at.Revision
-	g.latest = batch{since: revision, revision: revision}
+	g.latest = batch{since: revision, revision: revision, confirms: true, confirmedAt: confirmedAt}
+	g.announceAt = 0
 	var servers []registry.Change
 	for _, c := range changes {
 		if c.Name != "" {
@@ -194,6 +214,10 @@
 	if since < revision {
 		g.batches = append(g.batches, batch{since: since, revision: revision})
 	}
+	if n := len(g.batches); n > 0 && g.batches[n-1].revision == revision {
+		last := &g.batches[n-1]
+		last.confirms, last.confirmedAt, last.dueAt = true, confirmedAt, 0
+	}
 	g.batches = g.batches[max(0, len(g.batches)-maxBatches):]
 }
 
@@ -201,7 +225,7 @@
 func (g *Group) headerBytes() int {
 	b, err := Encode(&Message{
 		From: g.Self, Era: math.MaxUint64, Since: math.MaxUint64, Revision: math.MaxUint64, Version: math.MaxUint64,
-		Changes: make([]registry.Change, 1),
+		Confirms: true, Age: maxAge, Changes: make([]registry.Change, 1),
 	})
 	if err != nil {
 		return maxMessageBytes
@@ -222,12 +246,12 @@
 
 // StoreLost records that the store is unavailable to this entry VM. Its revision may then be outdated, so it announces
 // nothing until the next Publish.
-func (g *Group) StoreLost() { g.latest = batch{} }
+func (g *Group) StoreLost() { g.latest, g.standIn = batch{}, false }
 
 // Tick sends the announcements that are due. It must be called several times per period of 500 ms.
 func (g *Group) Tick(now time.Duration) {
 	g.batches = slices.DeleteFunc(g.batches, func(b batch) bool { return b.sent && now-b.firstSentAt > repeatPeriod })
-	if !g.reader {
+	if !g.isReader() && !g.standIn {
 		g.batches = nil
 		return
 	}
@@ -237,9 +261,14 @@
 	if len(g.batches) > 0 {
 		g.sendBatches(now)
 		g.announceAt = now + period
-	} else if now >= g.announceAt {
+		return
+	}
+	if now >= g.announceAt {
 		g.announceAt = now + period
-		g.announce(g.latest)
+		g.announce(now, g.latest)
+	}
+	if !g.isReader() {
+		g.standIn, g.latest = false, batch{}
 	}
 }
 
@@ -260,15 +289,19 @@
 				b.sent, b.firstSentAt = true, now
 			}
 			b.dueAt = now + period
-			g.announce(*b)
+			g.announce(now, *b)
 		}
 	}
 }
 
-func (g *Group) announce(b batch) {
-	g.Send(g.zone, &Message{
+func (g *Group) announce(now time.Duration, b batch) {
+	m := &Message{
 		From: g.Self, Era: g.era, Since: b.since, Revision: b.revision, Version: g.version, Changes: b.changes,
-	})
+	}
+	if age := max(0, now-b.confirmedAt).Milliseconds(); b.confirms && age <= maxAge {
+		m.Confirms, m.Age = true, uint64(age)
+	}
+	g.Send(g.zone, m)
 }
 
 // Handle processes an announcement of another entry VM; at and version are the position and the version of this entry
@@ -278,14 +311,13 @@
 		return Action{}
 	}
 	a := Action{NeedsConfiguration: m.Version > version}
-	if m.Era < at.Era {
-		return a // The sender has not noticed yet that the store was restored, so it does not count as a reader.
-	}
-	g.receivedAt = now
 	switch {
+	case m.Era < at.Era:
+		return a // The sender has not noticed yet that the store was restored.
 	case m.Era > at.Era:
 		a.NeedsState = true
 		g.gapSince = 0
+		return a
 	case m.Revision <= at.Revision:
 		if m.Revision == at.Revision {
 			g.gapSince = 0
@@ -295,9 +327,16 @@
 		g.gapSince = 0
 	case g.gapSince == 0:
 		g.gapSince = now
+		return a
 	case now-g.gapSince >= gapTimeout:
 		a.NeedsRead = true
 		g.gapSince = 0
+		return a
+	default:
+		return a
+	}
+	if m.Confirms && m.Version <= version {
+		a.ConfirmedAt = max(0, now-time.Duration(m.Age)*time.Millisecond)
 	}
 	return a
 }
--- a/internal/announce/group_test.go
+++ b/internal/announce/group_test.go
@@ -14,6 +14,9 @@
 	"github.com/masticspar/masticspar/internal/registry"
 )
 
+// bound is the time within which changes must take effect.
+const bound = 3 * time.Second
+
 // zone is an availability zone with a Group for each entry VM; messages arrive immediately.
 type zone struct {
 	now    time.Duration
@@ -24,6 +27,7 @@
 type vm struct {
 	Group
 	revision, version uint64
+	confirmedAt       time.Duration
 	actions           []Action
 	applied           []string
 	unreachable       bool
@@ -35,7 +39,7 @@
 	for i := range n {
 		name := fmt.Sprint("entry-", i)
 		all = append(all, member.Member{Name: name, Zone: "wa-perth", Size: 1000})
-		z.groups[name] = &vm{Group: Group{Self: name, AvailabilityZone: "wa-perth", Send: z.send}}
+		z.groups[name] = &vm{Group: Group{Self: name, AvailabilityZone: "wa-perth", Bound: bound, Send: z.send}}
 	}
 	all = append(all, member.Member{Name: "entry-far", Zone: "wa-south", Size: 100_000})
 	for _, g := range z.groups {
@@ -68,6 +72,7 @@
 		g.applied = append(g.applied, c.Name)
 	}
 	g.revision = max(g.revision, a.Position.Revision)
+	g.confirmedAt = max(g.confirmedAt, a.ConfirmedAt)
 }
 
 func (z *zone) advance(d time.Duration) {
@@ -80,7 +85,7 @@
 
 func (z *zone) readers() (list []*vm) {
 	for _, g := range z.groups {
-		if g.reader {
+		if g.isReader() {
 			list = append(list, g)
 		}
 	}
@@ -89,14 +94,19 @@
 
 func (z *zone) nonReader() *vm {
 	for _, g := range z.groups {
-		if !g.reader {
+		if !g.isReader() {
 			return g
 		}
 	}
 	return nil
 }
 
+// publish publishes changes that the store confirmed 10 ms after the start of the zone.
 func (g *vm) publish(revision uint64, names ...string) {
+	g.publishAt(time.Second+10*time.Millisecond, revision, names...)
+}
+
+func (g *vm) publishAt(confirmedAt time.Duration, revision uint64, names ...string) {
 	var changes []registry.Change
 	for i, n := range names {
 		changes = append(changes, registry.Change{
@@ -108,7 +118,13 @@
 	}
 	since := g.revision
 	g.revision = revision
-	g.Publish(since, history.Position{Era: g.era, Revision: revision}, g.version, changes)
+	g.confirmedAt = max(g.confirmedAt, confirmedAt)
+	g.Publish(since, history.Position{Era: g.era, Revision: revision}, confirmedAt, g.version, changes)
+}
+
+// shouldRead reports whether an entry VM makes calls to the store.
+func (g *vm) shouldRead(now time.Duration) bool {
+	return g.ShouldRead(now) || now-g.confirmedAt >= g.PollAge()
 }
 
 // Guards against a zone in which all entry VMs read the store, or none.
@@ -119,14 +135,20 @@
 	for _, g := range z.groups {
 		g.Start(z.now, false)
 	}
-	is.True(!z.nonReader().ShouldRead(z.now + announcementTimeout - 1))
-	is.True(z.nonReader().ShouldRead(z.now + announcementTimeout)) // No announcement was received yet.
-	for _, g := range z.readers() {
-		g.publish(5)
+	for _, g := range z.groups {
+		g.confirmedAt = z.now // Each has just read the state.
+	}
+	first := bound * 5 / 10
+	is.True(!z.nonReader().shouldRead(z.now + first - 1))
+	is.True(z.nonReader().shouldRead(z.now + bound*65/100)) // No announcement was received yet.
+	for range 4 {
+		for _, g := range z.readers() {
+			g.publishAt(z.now, 5)
+		}
+		z.advance(bound * 4 / 10)
+		is.True(!z.nonReader().shouldRead(z.now))
+		is.True(z.readers()[0].shouldRead(z.now))
 	}
-	z.advance(2 * time.Second)
-	is.True(!z.nonReader().ShouldRead(z.now))
-	is.True(z.readers()[0].ShouldRead(z.now))
 }
 
 // Guards against all VMs of a fleet that starts at once watching the store, because each of them knows no other member
@@ -143,7 +165,7 @@
 }
 
 // Guards against a zone that gets no changes after its readers failed or the store became unavailable to them.
-func TestOthersReadAfterAnnouncementTimeout(t *testing.T) {
+func TestOthersReadAfterReadersFailed(t *testing.T) {
 	is := is.New(t)
 	z := newZone(5)
 	for _, g := range z.readers() {
@@ -154,8 +176,8 @@
 		g.StoreLost()
 		g.batches = nil
 	}
-	z.advance(announcementTimeout + 200*time.Millisecond)
-	is.True(z.nonReader().ShouldRead(z.now))
+	z.advance(bound - time.Second - 700*time.Millisecond) // A call that fails and its repetition follow within the bound.
+	is.True(z.nonReader().shouldRead(z.now))
 }
 
 // Guards against a burst of changes, such as the registration of hundreds of servers after an outage, that fills the
@@ -182,7 +204,7 @@
 	}
 	is.True(most <= datagramsPerTick)
 	for _, g := range z.groups {
-		if g.reader {
+		if g.isReader() {
 			continue
 		}
 		is.Equal(g.revision, reader.revision)
@@ -244,7 +266,7 @@
 				Name: name, Service: long, Address: netip.MustParseAddrPort("10.0.0.1:8080"), AvailabilityZone: long,
 			}})
 		}
-		reader.Publish(since-uint64(len(lengths)), history.Position{Revision: since}, 0, changes)
+		reader.Publish(since-uint64(len(lengths)), history.Position{Revision: since}, z.now, 0, changes)
 	}
 	publish(10, 128, 128, 128, 128, 128, 128, 128, 128, 128, 10)
 	reader.Tick(z.now)
@@ -319,10 +341,11 @@
 	z := newZone(3)
 	g, at := z.nonReader(), history.Position{Era: 2, Revision: 6}
 	g.Start(z.now, false)
-	late := z.now + announcementTimeout
-	m := &Message{From: "reader", Era: 1, Since: 8, Revision: 9, Version: 2, Changes: []registry.Change{{Name: "i-1"}}}
-	is.Equal(g.Handle(late, m, at, 1), Action{NeedsConfiguration: true})
-	is.True(g.ShouldRead(late))
+	m := &Message{
+		From: "reader", Era: 1, Since: 8, Revision: 9, Version: 2, Confirms: true, Changes: []registry.Change{{Name: "i-1"}},
+	}
+	is.Equal(g.Handle(z.now, m, at, 1), Action{NeedsConfiguration: true}) // It does not confirm the own state.
+	is.True(g.PollAge() < bound)
 }
 
 // Guards against changes of the lost history that are announced in the next era.
@@ -331,7 +354,7 @@
 	z := newZone(3)
 	reader := z.readers()[0]
 	reader.publish(9, "i-1")
-	reader.Publish(5, history.Position{Era: 1, Revision: 5}, 1, nil)
+	reader.Publish(5, history.Position{Era: 1, Revision: 5}, z.now, 1, nil)
 	z.advance(time.Second)
 	is.Equal(len(z.nonReader().applied), 0)
 }
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -18,7 +18,7 @@
 	r.Counters.Add("bootstrapped-from-peer", 1)
 	r.noticeEra(page.Era)
 	r.Adopt(page.Changes, page.Position(), true)
-	r.complete(page.Position())
+	r.complete(page.Position(), page.ConfirmedAt)
 }
 
 // fetchState adopts the state of the process that announced a later era. It requests a full read of the store if this
@@ -33,7 +33,7 @@
 			r.Counters.Add("peer-state-reads", 1)
 			r.reportRestore(page.Position())
 			r.Adopt(page.Changes, page.Position(), true)
-			r.complete(page.Position())
+			r.complete(page.Position(), page.ConfirmedAt)
 			return 0
 		}
 	}
@@ -94,9 +94,10 @@
 	r.Adopt(page.Changes, at, complete)
 	if complete && r.isSynced() {
 		r.Advance(at)
+		r.Confirm(page.ConfirmedAt)
 	}
 	if complete && (!r.isSynced() || at.Era > r.Position().Era) {
-		r.complete(at)
+		r.complete(at, page.ConfirmedAt)
 	}
 	r.repeatConfiguration()
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -43,6 +43,8 @@
 	// call counts against the rate limit of the store.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 1200 * time.Millisecond
+	// maxReplyTime is how long a reply with changes may be under way.
+	maxReplyTime = 250 * time.Millisecond
 	// peerDelay is how long a new process waits for the first page of the store before it reads the snapshot of another
 	// process. Without the delay, all processes that start at once would read from the same few contacts.
 	peerDelay = 150 * time.Millisecond
@@ -67,6 +69,9 @@
 	Revision uint64
 	// Next is the position of the next page; it is empty on the last page.
 	Next string
+	// ConfirmedAt is when the store confirmed the state of another process; 0 if that is not known. It is not used for the
+	// replies of the store.
+	ConfirmedAt time.Duration
 }
 
 // Position returns the position of the page.
@@ -89,19 +94,23 @@
 	// ReadPeerState returns the snapshot of the process that announced a later era of the store. If it fails, the store is
 	// read; nil disables it.
 	ReadPeerState func(ctx context.Context) (Page, error)
-	// ReadPeer returns the snapshot of another process. It is called when the store does not reply; nil disables it.
+	// ReadPeer returns the snapshot of another process whose state is younger, if that of this process is complete. It is
+	// called when the store does not reply; nil disables it.
 	ReadPeer func(ctx context.Context) (Page, error)
-	// Replace is called with the result of a full read and its position. storeDown reports whether the store was
-	// unavailable or restored within the last 4 s.
-	Replace func(changes []registry.Change, at history.Position, storeDown bool)
+	// Replace is called with the result of a full read, its position and when the store confirmed it. storeDown reports
+	// whether the store was unavailable or restored within the last 4 s.
+	Replace func(changes []registry.Change, at history.Position, confirmedAt time.Duration, storeDown bool)
 	// Apply is called with the changes after since up to position at of the same era, in order; the list may be empty.
-	// storeDown has the same meaning as in Replace.
-	Apply func(changes []registry.Change, since, at history.Position, storeDown bool)
+	// confirmedAt and storeDown have the same meaning as in Replace.
+	Apply func(changes []registry.Change, since, at history.Position, confirmedAt time.Duration, storeDown bool)
 	// Adopt is called with the snapshot or configuration of another process and its position. complete reports whether
 	// the snapshot is at least as new as the state of this Replica, so that servers missing from it are gone.
 	Adopt func(changes []registry.Change, at history.Position, complete bool)
 	// ShouldRead reports whether this process has to watch the store itself; nil means that it has to.
 	ShouldRead func() bool
+	// PollDelay returns how long a process that does not watch the store, and whose state has the given age, waits until it
+	// reads the changes once. It then stands in for those that watch, so a call that fails is repeated late. Nil never polls.
+	PollDelay func(age time.Duration) time.Duration
 	// Lost and Regained are called once for each outage of the store, when it starts and when it ends.
 	Lost     func(reason error)
 	Regained func(outage time.Duration)
@@ -109,8 +118,10 @@
 	Restored func(before, at history.Position)
 	// Now returns the monotonic time.
 	Now func() time.Duration
-	// WatchTimeout is how long the store delays its reply to a watch while there is no change.
-	WatchTimeout time.Duration
+	// WatchTimeout returns how long the store delays its reply to a watch while there is no change.
+	WatchTimeout func() time.Duration
+	// MaxPollDelay is the greatest delay before a poll is repeated; the least one is half of it.
+	MaxPollDelay time.Duration
 	// BatchDelay is the delay after a watch that returned changes.
 	BatchDelay time.Duration
 	// Counters counts calls and retries by reason; nil counts nothing.
@@ -124,6 +135,7 @@
 
 	mu               sync.Mutex
 	at               history.Position // up to which changes have been received
+	confirmedAt      time.Duration    // when the store confirmed that there was no later change than at
 	latestEra        uint64           // latest era of a reply of the store or of a state of another process
 	synced           bool             // whether the state is complete
 	configurationDue bool             // whether the next step reads only the configuration
@@ -143,6 +155,7 @@
 	wasRestored bool
 
 	failures   int           // consecutive calls that failed
+	failedAt   time.Duration // when a call was last known to have failed
 	repliedAt  time.Duration // when the store last replied to a watch
 	compacted  int           // consecutive watches for which the store no longer had the history
 	peerReadAt time.Duration // when the last snapshot of another process arrived
@@ -155,6 +168,7 @@
 type fullRead struct {
 	next    string           // key of the next page; empty before the first one
 	at      history.Position // of the first page; the pages are not atomic, and the first watch returns later changes
+	started time.Duration    // when the first page was requested
 	changes []registry.Change
 }
 
@@ -211,6 +225,30 @@
 	}
 }
 
+// Age returns how long ago the store confirmed the state of this process, directly or through other processes. ok is false
+// while the state is incomplete.
+func (r *Replica) Age() (age time.Duration, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(0, r.Now()-r.confirmedAt), r.synced
+}
+
+// Confirm records that the store confirmed the state of this process at the given time.
+func (r *Replica) Confirm(at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.synced {
+		r.confirmedAt = max(r.confirmedAt, at)
+	}
+}
+
+// position returns the position and when the store confirmed it.
+func (r *Replica) position() (at history.Position, confirmedAt time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.at, r.confirmedAt
+}
+
 // FetchState requests the state of the process that announced a later era of the store. The announced era itself is not
 // recorded, so that a false one cannot make the replies of the store outdated.
 func (r *Replica) FetchState(era uint64) {
@@ -282,7 +320,8 @@
 func (r *Replica) step(ctx context.Context) time.Duration {
 	r.mu.Lock()
 	synced, configurationDue, catchUpDue := r.synced, r.configurationDue, r.catchUpDue
-	fetchState := r.stateDue && r.Now() >= r.stateAt
+	stateDue := r.stateDue
+	fetchState := stateDue && r.Now() >= r.stateAt
 	r.configurationDue, r.readingDue, r.catchUpDue = false, configurationDue, false
 	select {
 	case <-r.wake: // This step reads the configuration that was announced.
@@ -309,10 +348,24 @@
 		return r.fetchState(ctx)
 	case catchUpDue:
 		return r.catchUp(ctx)
-	case r.ShouldRead != nil && !r.ShouldRead():
-		return roleCheckInterval
+	case r.ShouldRead == nil || r.ShouldRead():
+		return r.watch(ctx)
+	}
+	delay := roleCheckInterval
+	if age, _ := r.Age(); !stateDue && r.PollDelay != nil {
+		if delay = min(delay, r.PollDelay(age)); delay <= 0 {
+			return r.poll(ctx)
+		}
+	}
+	r.endOutage()
+	return delay
+}
+
+// endOutage ends the outage of the store for a process that makes no calls, when others have received a reply.
+func (r *Replica) endOutage() {
+	if _, confirmedAt := r.position(); r.storeDown && confirmedAt > r.failedAt {
+		r.recordSuccess()
 	}
-	return r.watch(ctx)
 }
 
 func (r *Replica) readConfiguration(ctx context.Context) time.Duration {
@@ -340,8 +393,8 @@
 		return delay
 	}
 	r.recordSuccess()
-	at := r.Position()
-	r.Apply(page.Changes, at, at, r.StoreDown())
+	at, confirmedAt := r.position()
+	r.Apply(page.Changes, at, at, confirmedAt, r.StoreDown())
 	if page.Era > at.Era {
 		r.Resync(false)
 	}
@@ -375,7 +428,7 @@
 			return 0 // The snapshot of another process arrived first; the remaining pages are not needed.
 		}
 		if current.next == "" {
-			current.at = page.Position()
+			current.at, current.started = page.Position(), started
 		}
 		current.changes = append(current.changes, page.Changes...)
 		if current.next = page.Next; current.next == "" {
@@ -384,15 +437,19 @@
 	}
 	r.recordSuccess()
 	r.reportRestore(current.at)
-	r.Replace(current.changes, current.at, r.StoreDown())
-	r.complete(current.at)
+	r.Replace(current.changes, current.at, current.started, r.StoreDown())
+	r.complete(current.at, current.started)
 	return 0
 }
 
-// complete records that the state up to a position is complete.
-func (r *Replica) complete(at history.Position) {
+// complete records that the state up to a position is complete, and when the store confirmed it.
+func (r *Replica) complete(at history.Position, confirmedAt time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if at.Era != r.at.Era {
+		r.confirmedAt = 0 // It was about the lost history.
+	}
+	r.confirmedAt = max(r.confirmedAt, confirmedAt)
 	if at.Compare(r.at) > 0 {
 		r.at = at
 	}
@@ -458,7 +515,7 @@
 // catchUp reads the changes since the current position. If the call fails, it is repeated after the snapshot of another
 // process: the reply has each version of the configuration since then, and may be too large for the link of a small VM.
 func (r *Replica) catchUp(ctx context.Context) time.Duration {
-	delay, err := r.readChanges(ctx, catchUpWait)
+	delay, err := r.readChanges(ctx, catchUpWait, catchUpWait)
 	if err != nil {
 		r.CatchUp()
 		r.adoptPeer(ctx)
@@ -466,19 +523,40 @@
 	return delay
 }
 
+// poll reads the changes since the current position in place of the processes that watch the store. A call that fails is
+// not repeated soon, because many processes do the same then.
+func (r *Replica) poll(ctx context.Context) time.Duration {
+	r.Counters.Add("store-polls", 1)
+	delay, err := r.readChanges(ctx, catchUpWait, catchUpWait)
+	if err == nil {
+		return delay
+	}
+	r.adoptPeer(ctx)
+	if r.MaxPollDelay < 2 {
+		return delay
+	}
+	return r.MaxPollDelay/2 + rand.N(r.MaxPollDelay/2)
+}
+
 // watch waits for changes. The wait is shorter after a delay for a batch, so that a channel which has gone silent in the
-// meantime is noticed as early as without the delay.
+// meantime is noticed as early as without the delay, and at first, so that the state of another process is confirmed in time.
 func (r *Replica) watch(ctx context.Context) time.Duration {
-	wait := r.WatchTimeout - min(r.BatchDelay, r.Now()-r.repliedAt)
-	delay, _ := r.readChanges(ctx, max(wait, catchUpWait)) // The next step repeats a call that failed.
+	timeout := r.WatchTimeout()
+	wait := timeout - min(r.BatchDelay, r.Now()-r.repliedAt)
+	limit := wait
+	if r.repliedAt == 0 {
+		age, _ := r.Age()
+		wait, limit = timeout-age, timeout
+	}
+	delay, _ := r.readChanges(ctx, max(wait, catchUpWait), limit) // The next step repeats a call that failed.
 	return delay
 }
 
-// readChanges waits up to the given time for changes since the current position and applies them. It returns the delay
-// before the next step.
-func (r *Replica) readChanges(ctx context.Context, wait time.Duration) (time.Duration, error) {
+// readChanges waits up to the given time for changes since the current position and applies them. The reply may arrive
+// until watchMargin after limit. It returns the delay before the next step.
+func (r *Replica) readChanges(ctx context.Context, wait, limit time.Duration) (time.Duration, error) {
 	r.Counters.Add("store-watches", 1)
-	call, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	call, cancel := context.WithTimeout(ctx, max(wait, limit)+watchMargin)
 	defer cancel()
 	call, interrupt := context.WithCancelCause(call)
 	defer interrupt(nil)
@@ -511,8 +589,13 @@
 		return 0, nil
 	}
 	at := history.Position{Era: since.Era, Revision: max(since.Revision, page.Revision)}
-	r.Apply(page.Changes, since, at, r.StoreDown())
+	confirmedAt := max(started, r.repliedAt-maxReplyTime)
+	if len(page.Changes) == 0 {
+		confirmedAt = min(started+wait, r.repliedAt) // The store has waited for changes until then.
+	}
+	r.Apply(page.Changes, since, at, confirmedAt, r.StoreDown())
 	r.Advance(at)
+	r.Confirm(confirmedAt)
 	if len(page.Changes) == 0 {
 		return 0, nil
 	}
@@ -535,6 +618,7 @@
 		reason = "timeout"
 	}
 	r.Counters.Add("store-retry-"+reason, 1)
+	r.failedAt = r.Now()
 	if !r.storeDown {
 		r.mu.Lock()
 		r.storeDown, r.hadOutage, r.outageStart = true, true, r.Now()
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -59,8 +59,12 @@
 		ReadConfiguration: func(ctx context.Context) (Page, error) {
 			return receive(ctx, s.reads)
 		},
-		Replace: func(_ []registry.Change, _ history.Position, storeDown bool) { s.record(event("replace", storeDown)) },
-		Apply:   func(_ []registry.Change, _, _ history.Position, storeDown bool) { s.record(event("apply", storeDown)) },
+		Replace: func(_ []registry.Change, _ history.Position, _ time.Duration, storeDown bool) {
+			s.record(event("replace", storeDown))
+		},
+		Apply: func(_ []registry.Change, _, _ history.Position, _ time.Duration, storeDown bool) {
+			s.record(event("apply", storeDown))
+		},
 		Adopt: func(_ []registry.Change, _ history.Position, complete bool) {
 			if complete {
 				s.record("adopt")
@@ -75,7 +79,7 @@
 		},
 		Lost: func(error) { s.record("lost") }, Regained: func(time.Duration) { s.record("regained") },
 		Now:          func() time.Duration { return time.Since(start) },
-		WatchTimeout: time.Minute, Counters: counter.New(),
+		WatchTimeout: func() time.Duration { return time.Minute }, Counters: counter.New(),
 	}
 }
 
@@ -465,7 +469,7 @@
 	s := newStubStore()
 	c := s.config()
 	var replaced []registry.Change
-	c.Replace = func(changes []registry.Change, _ history.Position, _ bool) {
+	c.Replace = func(changes []registry.Change, _ history.Position, _ time.Duration, _ bool) {
 		replaced = changes
 		s.record("replace")
 	}
@@ -530,7 +534,7 @@
 	c := s.config()
 	c.Watch = func(context.Context, uint64, time.Duration) (Page, error) { return Page{}, ErrCompacted }
 	c.Read = func(context.Context, string) (Page, error) { return Page{Revision: 5}, nil }
-	c.Replace = func([]registry.Change, history.Position, bool) {}
+	c.Replace = func([]registry.Change, history.Position, time.Duration, bool) {}
 	_, stop := New(c)
 	time.Sleep(300 * time.Millisecond)
 	stop()
@@ -623,7 +627,7 @@
 	<-waits
 	s.watches <- result{page: Page{Revision: 6, Changes: []registry.Change{{Name: "i-1", Revision: 6}}}}
 	s.expect(t, "apply")
-	is.True(<-waits <= c.WatchTimeout-c.BatchDelay)
+	is.True(<-waits <= c.WatchTimeout()-c.BatchDelay)
 }
 
 // Guards against an entry VM that never gets the changes since a gap, because they do not fit through its link in time.
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -22,6 +22,8 @@
 
 const (
 	path = "/picture"
+	// ageHeader is the header with the age of the snapshot in milliseconds; it is missing if the age is not known.
+	ageHeader = "State-Age-Ms"
 	// configurationPath returns the configuration alone.
 	configurationPath = "/configuration"
 	// maxAgeParameter is the query parameter with the greatest accepted age of the snapshot in milliseconds.
@@ -44,6 +46,10 @@
 	Servers []registry.Change `cbor:"2,keyasint"`
 	// Configuration is the active configuration.
 	Configuration registry.Configuration `cbor:"3,keyasint"`
+	// Confirmed reports whether the store confirmed, Age before the reply, that there was nothing later.
+	Confirmed bool `cbor:"-"`
+	// Age is the time since that confirmation.
+	Age time.Duration `cbor:"-"`
 }
 
 var decoder = strictcbor.NewDecoder(maxEntries, 8)
@@ -112,6 +118,9 @@
 			http.Error(w, "no picture", http.StatusServiceUnavailable)
 			return
 		}
+		if s.Confirmed {
+			w.Header().Set(ageHeader, strconv.FormatInt(s.Age.Milliseconds(), 10))
+		}
 		reply(w, &complete, cacheKey{s.Era, s.Revision, s.Configuration.Version}, s)
 	})
 	mux.HandleFunc("GET "+configurationPath, func(w http.ResponseWriter, _ *http.Request) {
@@ -193,12 +202,23 @@
 	if maxAge > 0 {
 		target += "?" + maxAgeParameter + "=" + strconv.FormatInt(maxAge.Milliseconds(), 10)
 	}
-	b, err := get(ctx, address, target)
+	started := time.Now()
+	b, header, err := get(ctx, address, target)
 	if err != nil {
 		return nil, errors.Annotate(err, "fetching snapshot")
 	}
 	s, err := Decode(b)
-	return s, errors.Annotatef(err, "fetching snapshot from %s", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "fetching snapshot from %s", address)
+	}
+	if text := header.Get(ageHeader); text != "" {
+		age, err := strconv.ParseUint(text, 10, 31)
+		if err != nil {
+			return nil, errors.Annotatef(err, "fetching snapshot from %s: header %s", address, ageHeader)
+		}
+		s.Confirmed, s.Age = true, time.Duration(age)*time.Millisecond+time.Since(started)
+	}
+	return s, nil
 }
 
 // FetchConfiguration returns the configuration of the entry VM at address. It returns an error if its version is less
@@ -206,7 +226,7 @@
 func FetchConfiguration(
 	ctx context.Context, address netip.AddrPort, minVersion uint64,
 ) (*registry.Configuration, error) {
-	b, err := get(ctx, address, configurationPath)
+	b, _, err := get(ctx, address, configurationPath)
 	if err != nil {
 		return nil, errors.Annotate(err, "fetching configuration")
 	}
@@ -220,23 +240,23 @@
 	return c, errors.Annotatef(checkRoutes(c), "fetching configuration from %s", address)
 }
 
-// get returns the body of a reply of the entry VM at address.
-func get(ctx context.Context, address netip.AddrPort, target string) ([]byte, error) {
+// get returns the body and the header of a reply of the entry VM at address.
+func get(ctx context.Context, address netip.AddrPort, target string) ([]byte, http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+target, nil)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return nil, nil, errors.Trace(err)
 	}
 	request.Close = true // Requests are too rare to keep the connection open.
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return nil, nil, errors.Trace(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("unexpected status %d from %s, want 200", response.StatusCode, address)
+		return nil, nil, errors.Errorf("unexpected status %d from %s, want 200", response.StatusCode, address)
 	}
 	b, err := io.ReadAll(io.LimitReader(response.Body, maxSize))
-	return b, errors.Trace(err)
+	return b, response.Header, errors.Trace(err)
 }
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -167,3 +167,26 @@
 	is.Equal(changes[0].Configuration, &s.Configuration)
 	is.Equal(changes[1:], s.Servers)
 }
+
+// Guards against a state that counts as younger at the entry VM that fetches it than at the one that serves it.
+func TestFetchAddsTransferToAge(t *testing.T) {
+	is := is.New(t)
+	a := freeAddress(t)
+	const delay = 20 * time.Millisecond
+	state := sample()
+	state.Confirmed, state.Age = true, 1500*time.Millisecond
+	stop, err := Serve(a, Source{Snapshot: func(time.Duration) *Snapshot {
+		time.Sleep(delay)
+		return state
+	}})
+	is.NoErr(err)
+	defer stop()
+	s, err := Fetch(context.Background(), a, 0)
+	is.NoErr(err)
+	is.True(s.Confirmed)
+	is.True(s.Age >= state.Age+delay)
+	state.Confirmed = false
+	s, err = Fetch(context.Background(), a, 0)
+	is.NoErr(err)
+	is.True(!s.Confirmed)
+}
