Confirm the state only in the era that the confirmation is about

A confirmation that was received before the state of a restored store, and recorded after it, would have made that state count as younger than it is. Found by reading; TestConfirmationOfEarlierEraDoesNotCount did not compile before (new parameter).

--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -359,7 +359,7 @@
 		d.counters.Add("announcements-applied", 1)
 	}
 	if a.ConfirmedAt > 0 {
-		d.replica.Confirm(a.ConfirmedAt)
+		d.replica.Confirm(at.Era, a.ConfirmedAt)
 	}
 	if a.NeedsRead {
 		d.counters.Add("store-retry-announcement-gap", 1)
--- a/internal/replica/age_test.go
+++ b/internal/replica/age_test.go
@@ -80,7 +80,7 @@
 		return Page{Revision: 5}, nil
 	}
 	r := &Replica{Config: c, synced: true, at: history.Position{Revision: 5}}
-	r.Confirm(now)
+	r.Confirm(0, now)
 	now += 950 * time.Millisecond
 	is.Equal(r.step(context.Background()), 50*time.Millisecond)
 	now += 50 * time.Millisecond
@@ -106,11 +106,11 @@
 	r := &Replica{Config: c, synced: true}
 	r.recordFailure(ErrRefused, now)
 	s.expect(t, "lost")
-	r.Confirm(now - time.Second)
+	r.Confirm(0, now - time.Second)
 	r.step(context.Background())
 	is.True(r.StoreDown())
 	now += time.Second
-	r.Confirm(now)
+	r.Confirm(0, now)
 	r.step(context.Background())
 	s.expect(t, "regained")
 	now += outageGracePeriod
@@ -125,10 +125,13 @@
 	now := time.Minute
 	c.Now = func() time.Duration { return now }
 	r := &Replica{Config: c, synced: true, at: history.Position{Revision: 5}}
-	r.Confirm(now)
+	r.Confirm(0, now)
 	r.complete(history.Position{Era: 1, Revision: 3}, now-10*time.Second)
 	age, _ := r.Age()
 	is.Equal(age, 10*time.Second)
+	r.Confirm(0, now) // It was received before the state of the restored store.
+	age, _ = r.Age()
+	is.Equal(age, 10*time.Second)
 	r.complete(history.Position{Era: 1, Revision: 4}, now-20*time.Second)
 	age, _ = r.Age()
 	is.Equal(age, 10*time.Second)
@@ -167,7 +170,7 @@
 		return Page{Revision: 5}, nil
 	}
 	r := &Replica{Config: c, synced: true, at: history.Position{Revision: 5}}
-	r.Confirm(now - 20*time.Second)
+	r.Confirm(0, now - 20*time.Second)
 	r.watch(context.Background())
 	r.watch(context.Background())
 	is.Equal(waits, []time.Duration{40 * time.Second, time.Minute})
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -94,7 +94,7 @@
 	r.Adopt(page.Changes, at, complete)
 	if complete && r.isSynced() {
 		r.Advance(at)
-		r.Confirm(page.ConfirmedAt)
+		r.Confirm(at.Era, page.ConfirmedAt)
 	}
 	if complete && (!r.isSynced() || at.Era > r.Position().Era) {
 		r.complete(at, page.ConfirmedAt)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -233,11 +233,11 @@
 	return max(0, r.Now()-r.confirmedAt), r.synced
 }
 
-// Confirm records that the store confirmed the state of this process at the given time.
-func (r *Replica) Confirm(at time.Duration) {
+// Confirm records that the store confirmed the state of this process, which was of the given era, at a time.
+func (r *Replica) Confirm(era uint64, at time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.synced {
+	if r.synced && era == r.at.Era {
 		r.confirmedAt = max(r.confirmedAt, at)
 	}
 }
@@ -595,7 +595,7 @@
 	}
 	r.Apply(page.Changes, since, at, confirmedAt, r.StoreDown())
 	r.Advance(at)
-	r.Confirm(confirmedAt)
+	r.Confirm(at.Era, confirmedAt)
 	if len(page.Changes) == 0 {
 		return 0, nil
 	}
