--- a/cmd/masticspard/dsr_store.go
+++ b/cmd/masticspard/dsr_store.go
@@ -71,7 +71,7 @@
 	return d.peers.group.WatchTimeout(d.settings.WatchTimeout())
 }
 
-// pollDelay returns how long this entry VM, whose state has the given age, waits until it stands in for the readers of its
+// pollDelay returns how long this entry VM, whose state has the given age, waits until it substitutes for the readers of its
 // zone. It logs when it does.
 func (d *dsrDaemon) pollDelay(age time.Duration) time.Duration {
 	d.mu.Lock()
@@ -79,7 +79,7 @@
 	delay := d.peers.group.PollAge() - age
 	if delay <= 0 {
 		d.log.Info("store-polled", zap.Duration("picture-age", age))
-		d.peers.group.StandIn()
+		d.peers.group.Substitute()
 	}
 	return delay
 }
@@ -148,7 +148,7 @@
 	d.publish(since.Revision, at, confirmedAt, changes)
 }
 
-// publish passes what the store replied to the announcement group. Confirmations, and the changes that a stand-in has read,
+// publish passes what the store replied to the announcement group. Confirmations, and the changes that a substitute has read,
 // are announced at once, because others wait for them; a reader's changes are paced.
 func (d *dsrDaemon) publish(since uint64, at history.Position, confirmedAt time.Duration, changes []registry.Change) {
 	if d.peers == nil {
--- a/internal/announce/age.go
+++ b/internal/announce/age.go
@@ -8,14 +8,14 @@
 const (
 	// watchShare is the longest time between two confirmations of the store to a reader, as a share of Group.Bound.
 	watchShare = 0.4
-	// standInShare is the age of the state at which the first stand-in polls the store, as a share of Group.Bound.
-	standInShare = 0.5
-	// lastStandInShare is the age at which the last ones do. A call that gets no reply, and its repetition by others, follow
+	// substituteShare is the age of the state at which the first substitute polls the store, as a share of Group.Bound.
+	substituteShare = 0.5
+	// lastSubstituteShare is the age at which the last ones do. A call that gets no reply, and its repetition by others, follow
 	// within the bound.
-	lastStandInShare = 0.65
-	// standInStep is the time between two groups of stand-ins. A working store replies to the first one within it, and the
+	lastSubstituteShare = 0.65
+	// substituteStep is the time between two groups of substitutes. A working store replies to the first one within it, and the
 	// announcement stops the others.
-	standInStep = 60 * time.Millisecond
+	substituteStep = 60 * time.Millisecond
 )
 
 func (g *Group) share(of float64) time.Duration { return time.Duration(of * float64(g.Bound)) }
@@ -29,13 +29,13 @@
 	return min(longest, g.share(watchShare))
 }
 
-// PollAge returns the age of its state at which this entry VM has to stand in for the readers. The entry VMs of a zone do
+// PollAge returns the age of its state at which this entry VM has to substitute for the readers. The entry VMs of a zone do
 // so in the order of their ranks, one at first and then twice as many at each step, and announce what they read. So the
 // calls are at most about twice those that get no reply, and a zone of 127 entry VMs takes 7 steps.
 func (g *Group) PollAge() time.Duration {
 	turn := bits.Len(uint(max(0, g.rank-readersPerZone)))
-	return min(g.share(standInShare)+time.Duration(turn)*standInStep, g.share(lastStandInShare))
+	return min(g.share(substituteShare)+time.Duration(turn)*substituteStep, g.share(lastSubstituteShare))
 }
 
-// StandIn makes Tick announce the next Publish although this entry VM is no reader.
-func (g *Group) StandIn() { g.standIn, g.batches, g.latest = true, nil, batch{} }
+// Substitute makes Tick announce the next Publish although this entry VM is no reader.
+func (g *Group) Substitute() { g.substitute, g.batches, g.latest = true, nil, batch{} }
--- a/internal/announce/age_test.go
+++ b/internal/announce/age_test.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// Guards against an entry VM that announces what it has read for itself, when it does not stand in for the readers.
-func TestStandInAnnouncesOneRead(t *testing.T) {
+// Guards against an entry VM that announces what it has read for itself, when it does not substitute for the readers.
+func TestSubstituteAnnouncesOneRead(t *testing.T) {
 	is := is.New(t)
 	z := newZone(5)
 	g := z.nonReader()
@@ -83,7 +83,7 @@
 	}
 	z.advance(period)
 	is.Equal(z.sent, 0)
-	g.StandIn()
+	g.Substitute()
 	z.advance(period)
 	is.Equal(z.sent, 0) // What was read before is not announced.
 	g.publishAt(z.now, 6, "i-2")
@@ -96,7 +96,7 @@
 	g.publishAt(z.now, 7, "i-3")
 	z.advance(period)
 	is.Equal(z.sent, sent)
-	g.StandIn()
+	g.Substitute()
 	g.StoreLost()
 	g.publishAt(z.now, 8, "i-4")
 	z.advance(period)
@@ -105,7 +105,7 @@
 
 // Guards against a zone whose entry VMs have an outdated state, or all call the store, while the store gives no reply to
 // the readers and to some of the others.
-func TestStandInsKeepZoneCurrent(t *testing.T) {
+func TestSubstitutesKeepZoneCurrent(t *testing.T) {
 	const (
 		vms, step, call, callTimeout = 60, 10 * time.Millisecond, 20 * time.Millisecond, 700 * time.Millisecond
 		length                       = 30 * time.Second
@@ -127,7 +127,7 @@
 				away := g.rank < readersPerZone+turnedAway
 				if !g.isReader() && next[name] <= z.now && z.now-g.confirmedAt >= g.PollAge() {
 					calls++
-					g.StandIn()
+					g.Substitute()
 					next[name] = z.now + call
 					if away {
 						g.StoreLost()
--- a/internal/announce/group.go
+++ b/internal/announce/group.go
@@ -120,7 +120,7 @@
 	startedAt  time.Duration
 	zone       []member.Member // other active entry VMs of the zone
 	rank       int             // of this entry VM in the zone; the first ones are the readers
-	standIn    bool            // whether the next Publish is announced although this entry VM is no reader
+	substitute bool            // whether the next Publish is announced although this entry VM is no reader
 	gapSince   time.Duration   // time since which changes are missing; 0 if none are missing
 	era        uint64          // of the store at the last Publish
 	batches    []batch         // published changes, oldest first
@@ -180,7 +180,7 @@
 }
 
 // Publish queues the changes after revision since up to a position of the same era, which this entry VM has read from
-// the store, for announcement. Tick announces them while this entry VM is a reader, or once if it stands in for the readers.
+// the store, for announcement. Tick announces them while this entry VM is a reader, or once if it substitutes for them.
 // confirmedAt is when the store confirmed that the position was its newest, and version is the version of the active
 // configuration.
 func (g *Group) Publish(
@@ -246,12 +246,12 @@
 
 // StoreLost records that the store is unavailable to this entry VM. Its revision may then be outdated, so it announces
 // nothing until the next Publish.
-func (g *Group) StoreLost() { g.latest, g.standIn = batch{}, false }
+func (g *Group) StoreLost() { g.latest, g.substitute = batch{}, false }
 
 // Tick sends the announcements that are due. It must be called several times per period of 500 ms.
 func (g *Group) Tick(now time.Duration) {
 	g.batches = slices.DeleteFunc(g.batches, func(b batch) bool { return b.sent && now-b.firstSentAt > repeatPeriod })
-	if !g.isReader() && !g.standIn {
+	if !g.isReader() && !g.substitute {
 		g.batches = nil
 		return
 	}
@@ -268,7 +268,7 @@
 		g.announce(now, g.latest)
 	}
 	if !g.isReader() {
-		g.standIn, g.latest = false, batch{}
+		g.substitute, g.latest = false, batch{}
 	}
 }
 
--- a/internal/replica/age_test.go
+++ b/internal/replica/age_test.go
@@ -95,7 +95,7 @@
 }
 
 // Guards against a process that treats removed servers as lapsed for the rest of its life, because a call failed when it
-// stood in for the readers and it has made none since.
+// substituted for the readers and it has made none since.
 func TestOutageEndsWhenOthersConfirm(t *testing.T) {
 	is := is.New(t)
 	s := newStubStore()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -109,7 +109,7 @@
 	// ShouldRead reports whether this process has to watch the store itself; nil means that it has to.
 	ShouldRead func() bool
 	// PollDelay returns how long a process that does not watch the store, and whose state has the given age, waits until it
-	// reads the changes once. It then stands in for those that watch, so a call that fails is repeated late. Nil never polls.
+	// reads the changes once. It then substitutes for those that watch, so a call that fails is repeated late. Nil never polls.
 	PollDelay func(age time.Duration) time.Duration
 	// Lost and Regained are called once for each outage of the store, when it starts and when it ends.
 	Lost     func(reason error)
