soak: let the store give no reply to most daemons of a zone

The fault unanswered silences the store for all daemons of a zone but one, while a server leaves and the routes change; the daemon that is served must keep all bounds.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 SEED ?= 1
 DURATION ?= 10s
 RESTORE_FAULTS := store-restored,server-leaves,store-restored,kill,store-restored,server-crashes
+UNANSWERED_FAULTS := unanswered,unanswered,unanswered
 LATE_FAULTS := late-reports,late-reports,late-reports,kill,late-reports
 soak:
 	@mkdir -p bin
@@ -46,6 +47,7 @@
 	@bin/soak --seed $(SEED) --duration $(DURATION)
 	@bin/soak --seed $(SEED) --faults $(RESTORE_FAULTS)
 	@bin/soak --seed $(SEED) --faults $(LATE_FAULTS)
+	@bin/soak --seed $(SEED) --daemons 8 --faults $(UNANSWERED_FAULTS)
 
 # The mode with owners, then the token mode on stand-ins of the users' platform.
 demo: build
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -45,6 +45,9 @@
 	// minLifeTime and maxLifeTime limit the time until that one crashes.
 	restartTime              = 500 * time.Millisecond
 	minLifeTime, maxLifeTime = 300 * time.Millisecond, 1500 * time.Millisecond
+	// unansweredTime is how long the store gives no reply to most daemons of a zone. A daemon that keeps the server that leaves
+	// meanwhile for longer than the bound is noticed in it.
+	unansweredTime = drainBound + margin + 1500*time.Millisecond
 	// storeRecoveryTime is the time from the end of a proxy fault until the disturbance of its daemon ends. It is longer
 	// than the watch timeout, so the daemon has detected a lost reply by then.
 	storeRecoveryTime = 4 * time.Second
@@ -75,6 +78,7 @@
 		{"route", s.changeRoute},
 		{"slow", s.slowDaemon},
 		{"late-reports", s.delayReports},
+		{"unanswered", s.silenceStoreForZone},
 	}
 }
 
@@ -230,6 +234,33 @@
 	return func() { d.proxy.set(modeRelay) }
 }
 
+// silenceStoreForZone lets the store give no reply to the daemons of a zone, except one, while a server leaves and the routes
+// change. The daemon that is served does not count as disturbed: it must keep all bounds.
+func (s *site) silenceStoreForZone(random *rand.Rand, _ time.Duration) func() {
+	served := s.randomDaemon(random)
+	own := rand.New(rand.NewPCG(random.Uint64(), 0)) // The end of the fault runs beside the plan, which uses random.
+	var silent []*daemon
+	for _, d := range s.daemons {
+		if d.zone == served.zone && d != served {
+			s.checker.disturbEntry(d.address, time.Now().Add(unansweredTime+storeRecoveryTime))
+			d.proxy.set(modeBlackhole)
+			silent = append(silent, d)
+		}
+	}
+	silentSince := time.Now()
+	replaceServer := s.drainServer(own, 0)
+	s.changeRoute(own, 0)
+	return func() {
+		time.Sleep(unansweredTime - time.Since(silentSince))
+		for _, d := range silent {
+			d.proxy.set(modeRelay)
+		}
+		if replaceServer != nil {
+			replaceServer()
+		}
+	}
+}
+
 // failStore makes the store fail for all daemons.
 func (s *site) failStore(random *rand.Rand, length time.Duration) func() {
 	f := []store.Faults{
