Keep a confirmation until the changes or the configuration that it requires have arrived

Cause: an announcement confirmed the receiver's state only if nothing was missing when it arrived. A configuration or the state of a later era is fetched after the announcement, and the next announcement comes up to 0.5 s later; by then the age of the state had passed that of a substitute, so all followers of a zone could poll. Besides, a reader that had read the state of the later era by itself still had the request for it pending: it served its state without an age (so that the age at the receiver was the time since its start), and then read the store a second time.

Change: the youngest confirmation is kept with its position and version, and counts as soon as the state has both; a state of a later era ends the request for it.

TestMissingPartsCompleteConfirmation; TestConfirmationOfEarlierEraDoesNotCount checks the request. Both needed new calls, so they do not compile before.

--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -358,9 +358,7 @@
 		d.replica.Advance(a.Position)
 		d.counters.Add("announcements-applied", 1)
 	}
-	if a.ConfirmedAt > 0 {
-		d.replica.Confirm(at.Era, a.ConfirmedAt)
-	}
+	d.confirm()
 	if a.NeedsRead {
 		d.counters.Add("store-retry-announcement-gap", 1)
 		d.replica.CatchUp()
--- a/cmd/masticspard/dsr_store.go
+++ b/cmd/masticspard/dsr_store.go
@@ -71,11 +71,11 @@
 	return d.peers.group.WatchTimeout(d.settings.WatchTimeout())
 }
 
-// pollDelay returns how long this entry VM, whose state has the given age, waits until it substitutes for the readers of its
-// zone. It logs when it does.
-func (d *dsrDaemon) pollDelay(age time.Duration) time.Duration {
+// pollDelay returns how long this entry VM waits until it substitutes for the readers of its zone. It logs when it does.
+func (d *dsrDaemon) pollDelay() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	age := d.age()
 	delay := d.peers.group.PollAge() - age
 	if delay <= 0 {
 		d.log.Info("store-polled", zap.Duration("picture-age", age))
@@ -89,10 +89,19 @@
 	if d.replica == nil {
 		return d.timer.Now()
 	}
+	d.confirm()
 	age, _ := d.replica.Age()
 	return age
 }
 
+// confirm records what announcements tell about the state of this entry VM; d.mu must be held.
+func (d *dsrDaemon) confirm() {
+	if d.peers != nil {
+		at := d.replica.Position()
+		d.replica.Confirm(at.Era, d.peers.group.ConfirmedAt(at, d.engine.Registry.Version()))
+	}
+}
+
 // storeLost logs the start of an outage of the store and reports it to the announcement group.
 func (d *dsrDaemon) storeLost(reason error) {
 	d.log.Warn("store-lost", zap.String("reason", reason.Error()))
--- a/cmd/masticspard/dsr_test.go
+++ b/cmd/masticspard/dsr_test.go
@@ -326,8 +326,9 @@
 	defer d.mu.Unlock()
 	at := d.replica.Position()
 	is.Equal(at.Era, uint64(1))
-	later := time.Hour // The confirmation is later than the clock, so that its age is 0.
+	later := time.Hour // The confirmations are later than the clock, so that their age is 0.
 	for _, era := range []uint64{0, 2, 1} {
+		later += time.Second
 		d.handleAnnouncement(later, &announce.Message{
 			From: "entry-2", Era: era, Since: at.Revision, Revision: at.Revision, Version: 1, Confirms: true,
 		})
--- a/internal/announce/age.go
+++ b/internal/announce/age.go
@@ -3,6 +3,8 @@
 import (
 	"math/bits"
 	"time"
+
+	"github.com/masticspar/masticspar/internal/history"
 )
 
 const (
@@ -37,5 +39,15 @@
 	return min(g.share(substituteShare)+time.Duration(turn)*substituteStep, g.share(lastSubstituteShare))
 }
 
+// ConfirmedAt returns when the store confirmed the state of this entry VM, according to the announcements that it received;
+// 0 if they do not tell. The state has the position and the version of the configuration.
+func (g *Group) ConfirmedAt(at history.Position, version uint64) time.Duration {
+	c := &g.confirmed
+	if at.Era != c.position.Era || at.Revision < c.position.Revision || version < c.version {
+		return 0 // Changes or a configuration are missing.
+	}
+	return c.at
+}
+
 // Substitute makes Tick announce the next Publish although this entry VM is no reader.
 func (g *Group) Substitute() { g.substitute, g.batches, g.latest = true, nil, batch{} }
--- a/internal/announce/age_test.go
+++ b/internal/announce/age_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/masticspar/masticspar/internal/history"
+	"github.com/masticspar/masticspar/internal/member"
 )
 
 // Guards against an entry VM that takes the state of a reader for current as long as the reader announces it.
@@ -81,23 +82,48 @@
 		if test.want {
 			want = time.Minute - 300*time.Millisecond
 		}
-		if a.ConfirmedAt != want {
-			t.Errorf("%s: confirmed at %v, want %v", name, a.ConfirmedAt, want)
+		after := history.Position{Revision: max(at.Revision, a.Position.Revision)}
+		if got := g.ConfirmedAt(after, 2); got != want {
+			t.Errorf("%s: confirmed at %v, want %v", name, got, want)
 		}
 	}
 }
 
+// Guards against a state that counts as unconfirmed after what was missing has arrived, so that all entry VMs of a zone call
+// the store when the configuration has changed or the store was restored.
+func TestMissingPartsCompleteConfirmation(t *testing.T) {
+	is := is.New(t)
+	g := Group{Self: "entry-0", Bound: bound}
+	m := &Message{From: "entry-1", Era: 1, Since: 5, Revision: 6, Version: 3, Confirms: true, Age: 300}
+	g.Handle(time.Minute, m, history.Position{Revision: 9}, 2)
+	for _, missing := range []struct {
+		at      history.Position
+		version uint64
+	}{{history.Position{Revision: 9}, 3}, {history.Position{Era: 1, Revision: 5}, 3}, {history.Position{Era: 1, Revision: 6}, 2}} {
+		is.Equal(g.ConfirmedAt(missing.at, missing.version), time.Duration(0))
+	}
+	confirmedAt := time.Minute - 300*time.Millisecond
+	is.Equal(g.ConfirmedAt(history.Position{Era: 1, Revision: 6}, 3), confirmedAt)
+	m.Age = 5000 // The confirmation of another reader is older.
+	g.Handle(time.Minute, m, history.Position{Era: 1, Revision: 6}, 3)
+	is.Equal(g.ConfirmedAt(history.Position{Era: 1, Revision: 6}, 3), confirmedAt)
+}
+
 // Guards against a part of a long list of changes that confirms the state although more changes follow.
 func TestOnlyLastPartOfChangesConfirms(t *testing.T) {
 	is := is.New(t)
 	z := newZone(3)
 	reader := z.readers()[0]
+	var confirmed []bool
+	reader.Send = func(_ []member.Member, m *Message) {
+		z.deliver(z.nonReader(), m)
+		confirmed = append(confirmed, z.nonReader().confirmedAt > 0)
+	}
 	reader.publishAt(z.now, 20, "i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8", "i-9", "i-10")
 	reader.Tick(z.now)
-	actions := z.nonReader().actions
-	is.True(len(actions) >= 2)
-	for i, a := range actions {
-		is.Equal(a.ConfirmedAt > 0, i == len(actions)-1)
+	is.True(len(confirmed) >= 2)
+	for i, c := range confirmed {
+		is.Equal(c, i == len(confirmed)-1)
 	}
 }
 
--- a/internal/announce/group.go
+++ b/internal/announce/group.go
@@ -97,8 +97,6 @@
 	Apply []registry.Change
 	// Position is the receiver's position after Apply; the zero value leaves it unchanged.
 	Position history.Position
-	// ConfirmedAt is when the store confirmed the receiver's state after Apply; 0 if the message does not tell.
-	ConfirmedAt time.Duration
 	// NeedsState reports whether the whole state has to be fetched from the sender, because the store was restored.
 	NeedsState bool
 	// NeedsRead reports whether the changes since the receiver's revision have to be read from the store.
@@ -127,6 +125,15 @@
 	latest     batch           // newest revision, without changes; zero while the store is unavailable
 	version    uint64          // version of the active configuration
 	announceAt time.Duration   // when the next announcement is due
+	confirmed  confirmation    // the youngest one that was received
+}
+
+// confirmation is what the store confirmed at a time: that there was nothing later than a position and a version of the
+// configuration.
+type confirmation struct {
+	position history.Position
+	version  uint64
+	at       time.Duration
 }
 
 type batch struct {
@@ -310,6 +317,10 @@
 	if m.From == g.Self {
 		return Action{}
 	}
+	confirmedAt := max(0, now-time.Duration(m.Age)*time.Millisecond)
+	if m.Confirms && m.Era >= at.Era && confirmedAt > g.confirmed.at {
+		g.confirmed = confirmation{history.Position{Era: m.Era, Revision: m.Revision}, m.Version, confirmedAt}
+	}
 	a := Action{NeedsConfiguration: m.Version > version}
 	switch {
 	case m.Era < at.Era:
@@ -317,7 +328,6 @@
 	case m.Era > at.Era:
 		a.NeedsState = true
 		g.gapSince = 0
-		return a
 	case m.Revision <= at.Revision:
 		if m.Revision == at.Revision {
 			g.gapSince = 0
@@ -327,16 +337,9 @@
 		g.gapSince = 0
 	case g.gapSince == 0:
 		g.gapSince = now
-		return a
 	case now-g.gapSince >= gapTimeout:
 		a.NeedsRead = true
 		g.gapSince = 0
-		return a
-	default:
-		return a
-	}
-	if m.Confirms && m.Version <= version {
-		a.ConfirmedAt = max(0, now-time.Duration(m.Age)*time.Millisecond)
 	}
 	return a
 }
--- a/internal/announce/group_test.go
+++ b/internal/announce/group_test.go
@@ -72,7 +72,7 @@
 		g.applied = append(g.applied, c.Name)
 	}
 	g.revision = max(g.revision, a.Position.Revision)
-	g.confirmedAt = max(g.confirmedAt, a.ConfirmedAt)
+	g.confirmedAt = max(g.confirmedAt, g.ConfirmedAt(history.Position{Era: g.era, Revision: g.revision}, g.version))
 }
 
 func (z *zone) advance(d time.Duration) {
@@ -345,6 +345,7 @@
 		From: "reader", Era: 1, Since: 8, Revision: 9, Version: 2, Confirms: true, Changes: []registry.Change{{Name: "i-1"}},
 	}
 	is.Equal(g.Handle(z.now, m, at, 1), Action{NeedsConfiguration: true}) // It does not confirm the own state.
+	is.Equal(g.ConfirmedAt(at, 2), time.Duration(0))
 	is.True(g.PollAge() < bound)
 }
 
--- a/internal/replica/age_test.go
+++ b/internal/replica/age_test.go
@@ -54,7 +54,7 @@
 	c := s.config()
 	c.MaxPollDelay = 3 * time.Second
 	c.ShouldRead = func() bool { return false }
-	c.PollDelay = func(time.Duration) time.Duration { return 0 }
+	c.PollDelay = func() time.Duration { return 0 }
 	c.Watch = func(context.Context, uint64, time.Duration) (Page, error) { return Page{}, ErrRefused }
 	r := &Replica{Config: c, synced: true}
 	for range 10 {
@@ -73,13 +73,17 @@
 	now := time.Minute
 	c.Now = func() time.Duration { return now }
 	c.ShouldRead = func() bool { return false }
-	c.PollDelay = func(age time.Duration) time.Duration { return time.Second - age }
+	r := &Replica{synced: true, at: history.Position{Revision: 5}}
+	c.PollDelay = func() time.Duration {
+		age, _ := r.Age()
+		return time.Second - age
+	}
 	calls := 0
 	c.Watch = func(context.Context, uint64, time.Duration) (Page, error) {
 		calls++
 		return Page{Revision: 5}, nil
 	}
-	r := &Replica{Config: c, synced: true, at: history.Position{Revision: 5}}
+	r.Config = c
 	r.Confirm(0, now)
 	now += 950 * time.Millisecond
 	is.Equal(r.step(context.Background()), 50*time.Millisecond)
@@ -129,10 +133,13 @@
 	r.complete(history.Position{Era: 1, Revision: 3}, now-10*time.Second)
 	age, _ := r.Age()
 	is.Equal(age, 10*time.Second)
-	r.Confirm(0, now) // It was received before the state of the restored store.
+	r.stateDue = true
+	r.complete(history.Position{Era: 2, Revision: 3}, now-10*time.Second)
+	is.True(!r.stateDue) // It need not be fetched any more.
+	r.Confirm(0, now)    // It was received before the state of the restored store.
 	age, _ = r.Age()
 	is.Equal(age, 10*time.Second)
-	r.complete(history.Position{Era: 1, Revision: 4}, now-20*time.Second)
+	r.complete(history.Position{Era: 2, Revision: 4}, now-20*time.Second)
 	age, _ = r.Age()
 	is.Equal(age, 10*time.Second)
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -108,9 +108,9 @@
 	Adopt func(changes []registry.Change, at history.Position, complete bool)
 	// ShouldRead reports whether this process has to watch the store itself; nil means that it has to.
 	ShouldRead func() bool
-	// PollDelay returns how long a process that does not watch the store, and whose state has the given age, waits until it
-	// reads the changes once. It then substitutes for those that watch, so a call that fails is repeated late. Nil never polls.
-	PollDelay func(age time.Duration) time.Duration
+	// PollDelay returns how long a process that does not watch the store waits, by the age of its state, until it reads the
+	// changes once. It then substitutes for those that watch, so a call that fails is repeated late. Nil never polls.
+	PollDelay func() time.Duration
 	// Lost and Regained are called once for each outage of the store, when it starts and when it ends.
 	Lost     func(reason error)
 	Regained func(outage time.Duration)
@@ -352,8 +352,8 @@
 		return r.watch(ctx)
 	}
 	delay := roleCheckInterval
-	if age, _ := r.Age(); !stateDue && r.PollDelay != nil {
-		if delay = min(delay, r.PollDelay(age)); delay <= 0 {
+	if !stateDue && r.PollDelay != nil {
+		if delay = min(delay, r.PollDelay()); delay <= 0 {
 			return r.poll(ctx)
 		}
 	}
@@ -448,6 +448,7 @@
 	defer r.mu.Unlock()
 	if at.Era != r.at.Era {
 		r.confirmedAt = 0 // It was about the lost history.
+		r.stateDue = false
 	}
 	r.confirmedAt = max(r.confirmedAt, confirmedAt)
 	if at.Compare(r.at) > 0 {
