Keep new flows out of evacuated availability zones

Ruled out: a change that older entry VMs accept silently. They refuse a message with an evacuation, see a gap and read the store, which is visible in their counters. Change: an evacuation is a change of the registry with position, lapse and removal, like the entry of a server. If no zone is left, SYNs are reset at once with the reason evacuated. The setting evacuation-bound takes part in the age of the state.

--- a/cmd/masticspard/dsr.go
+++ b/cmd/masticspard/dsr.go
@@ -81,6 +81,7 @@
 		SuspicionChanged: d.logSuspicion,
 	}
 	e.Registry.Changed, e.Registry.OnReplaced = d.logHostState, d.logReplaced
+	e.Registry.EvacuationChanged = d.logEvacuation
 	e.Registry.Retention = time.Duration(d.settings.FlowLifetime) + time.Duration(d.settings.SettleTime)
 	e.Start()
 	// Start has set Observe; the daemon counts each event before it passes the event on.
--- a/cmd/masticspard/dsr_log.go
+++ b/cmd/masticspard/dsr_log.go
@@ -7,6 +7,7 @@
 
 	"github.com/masticspar/masticspar/internal/conntrack"
 	"github.com/masticspar/masticspar/internal/dsr"
+	"github.com/masticspar/masticspar/internal/history"
 	"github.com/masticspar/masticspar/internal/registry"
 )
 
@@ -33,6 +34,21 @@
 		zap.Stringer("by-first-listed", later.First), zap.Stringer("by-last-listed", later.Last))
 }
 
+// logEvacuation counts and logs that the evacuation of an availability zone started or ended.
+func (d *dsrDaemon) logEvacuation(_ time.Duration, zone string, evacuated bool) {
+	event := "zone-evacuation-ended"
+	if evacuated {
+		event = "zone-evacuated"
+	}
+	d.counters.Add(event, 1)
+	at := history.Position{}
+	if d.replica != nil {
+		at = d.replica.Position()
+	}
+	d.log.Warn(event, zap.String("availability-zone", zone), zap.Stringer("picture", at),
+		zap.Duration("picture-age", d.age()))
+}
+
 // logSuspicion counts and logs that a server became suspected or responds again.
 func (d *dsrDaemon) logSuspicion(now time.Duration, token uint32, suspected bool) {
 	event := "host-answers"
--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -191,7 +191,7 @@
 	}
 	return &snapshot.Snapshot{
 		Era: at.Era, Revision: at.Revision, Servers: r.Changes(), Configuration: r.Configuration(),
-		Confirmed: consistent, Age: age,
+		Evacuations: r.Evacuations(), Confirmed: consistent, Age: age,
 	}
 }
 
--- a/internal/announce/group.go
+++ b/internal/announce/group.go
@@ -55,7 +55,7 @@
 	Confirms bool `cbor:"7,keyasint,omitempty"`
 	// Age is the time in milliseconds since that confirmation, on the clock of the sender.
 	Age uint64 `cbor:"8,keyasint,omitempty"`
-	// Changes are the changes of servers in the order of their revisions.
+	// Changes are the changes of servers and evacuations in the order of their revisions.
 	Changes []registry.Change `cbor:"5,keyasint,omitempty"`
 }
 
@@ -84,8 +84,8 @@
 		return nil, errors.Errorf("announcement has an age of %d ms, more than the limit of %d ms", m.Age, maxAge)
 	}
 	for _, c := range m.Changes {
-		if c.Name == "" || c.Configuration != nil {
-			return nil, errors.New("announcement has a change that is not a change of a server")
+		if (c.Name == "") == (c.Zone == "") || c.Configuration != nil {
+			return nil, errors.New("announcement has a change that is neither one of a server nor of an evacuation")
 		}
 	}
 	return m, nil
@@ -200,23 +200,23 @@
 	revision := at.Revision
 	g.latest = batch{since: revision, revision: revision, confirms: true, confirmedAt: confirmedAt}
 	g.announceAt = 0
-	var servers []registry.Change
+	var announced []registry.Change
 	for _, c := range changes {
-		if c.Name != "" {
-			servers = append(servers, c)
+		if c.Name != "" || c.Zone != "" {
+			announced = append(announced, c)
 		}
 	}
 	limit := maxMessageBytes - g.headerBytes()
-	for len(servers) > 0 { // Split at a revision; the changes are in the order of their revisions.
-		n := fitting(servers, limit)
-		to := servers[max(n, 1)-1].Revision
-		if n == len(servers) {
+	for len(announced) > 0 { // Split at a revision; the changes are in the order of their revisions.
+		n := fitting(announced, limit)
+		to := announced[max(n, 1)-1].Revision
+		if n == len(announced) {
 			to = revision
 		}
 		if n > 0 { // A change that fits into no message leaves a gap, so that receivers read it from the store.
-			g.batches = append(g.batches, batch{since: since, revision: to, changes: servers[:n]})
+			g.batches = append(g.batches, batch{since: since, revision: to, changes: announced[:n]})
 		}
-		servers, since = servers[max(n, 1):], to
+		announced, since = announced[max(n, 1):], to
 	}
 	if since < revision {
 		g.batches = append(g.batches, batch{since: since, revision: revision})
--- a/internal/announce/group_test.go
+++ b/internal/announce/group_test.go
@@ -359,3 +359,29 @@
 	z.advance(time.Second)
 	is.Equal(len(z.nonReader().applied), 0)
 }
+
+// Guards against evacuations that do not reach the entry VMs that do not read the store.
+func TestEvacuationIsAnnounced(t *testing.T) {
+	is := is.New(t)
+	c := registry.Change{Zone: "wa-perth", Evacuated: true, Revision: 7}
+	b, err := Encode(&Message{From: "entry-1", Since: 6, Revision: 7, Changes: []registry.Change{c}})
+	is.NoErr(err)
+	m, err := Decode(b)
+	is.NoErr(err)
+	var sent []*Message
+	g := Group{Self: "entry-1", AvailabilityZone: "wa-perth", Send: func(_ []member.Member, m *Message) { sent = append(sent, m) }}
+	g.SetMembers([]member.Member{{Name: "entry-1", Zone: "wa-perth"}, {Name: "entry-2", Zone: "wa-perth"}})
+	g.Publish(6, history.Position{Revision: 7}, 0, 1, []registry.Change{c})
+	g.Tick(0)
+	is.Equal(len(sent), 1)
+	is.Equal(sent[0].Changes, m.Changes)
+	follower := Group{Self: "entry-2"}
+	a := follower.Handle(0, sent[0], history.Position{Revision: 6}, 1)
+	is.Equal(a.Apply, []registry.Change{c})
+	m.Changes[0].Name = "i-1"
+	b, err = Encode(m)
+	is.NoErr(err)
+	if _, err = Decode(b); err == nil {
+		t.Error("a change of both a server and a zone was decoded")
+	}
+}
--- a/internal/dsr/engine.go
+++ b/internal/dsr/engine.go
@@ -45,7 +45,8 @@
 	ReasonHostRemoved     = "host-removed"
 	ReasonHostSilent      = "host-silent"
 	ReasonHostReplaced    = "host-replaced"
-	ReasonResuming        = "waking" // SYN that arrives shortly after a pause of the process
+	ReasonEvacuated       = "evacuated" // SYN of a route whose servers are all in evacuated zones
+	ReasonResuming        = "waking"    // SYN that arrives shortly after a pause of the process
 )
 
 // Verdict is the decision about a packet.
@@ -145,14 +146,18 @@
 		}
 		tried = append(append(tried, f.Tried...), f.Host)
 	}
-	l, reason := e.Placement.Pick(now, e.Registry.Hosts(targetService(r, hash)),
-		placement.Flow{Hash: hash, TargetLatency: r.TargetLatency, Tried: tried})
-	if l == nil {
-		return Verdict{Action: Reset, Reason: reason}
+	service := targetService(r, hash)
+	choice := e.Placement.Pick(now, e.Registry.Hosts(service),
+		placement.Flow{Hash: hash, TargetLatency: r.TargetLatency, Priority: r.Priority, Tried: tried})
+	if choice.Host == nil {
+		if e.Registry.HasEvacuatedHosts(service) {
+			choice.Reason = ReasonEvacuated
+		}
+		return Verdict{Action: Reset, Reason: choice.Reason}
 	}
-	e.Flows.Open(now, p, l.Token)
-	e.recordAttempt(now, p, l.Token)
-	return Verdict{Action: Forward, Host: l, Retried: f != nil}
+	e.Flows.Open(now, p, choice.Host.Token)
+	e.recordAttempt(now, p, choice.Host.Token)
+	return Verdict{Action: Forward, Host: choice.Host, Retried: f != nil}
 }
 
 // attempt is a recent SYN of a caller.
--- a/internal/dsr/settings/settings.go
+++ b/internal/dsr/settings/settings.go
@@ -55,6 +55,8 @@
 	DrainBound document.Duration `json:"drain-bound"`
 	// ConfigurationBound is the time within which a new configuration must become active.
 	ConfigurationBound document.Duration `json:"configuration-bound"`
+	// EvacuationBound is the time after which a server of an evacuated zone must not receive new flows; 0 sets no bound.
+	EvacuationBound document.Duration `json:"evacuation-bound"`
 	// StopTimeout is the maximum time from SIGTERM to the end of the process.
 	StopTimeout document.Duration `json:"stop-timeout"`
 	// FlowLifetime is the maximum age of an open flow.
@@ -114,6 +116,9 @@
 	c.Duration("settle-time", s.SettleTime, 500*time.Millisecond, time.Minute)
 	c.Duration("drain-bound", s.DrainBound, 500*time.Millisecond, time.Hour)
 	c.Duration("configuration-bound", s.ConfigurationBound, 500*time.Millisecond, time.Hour)
+	if s.EvacuationBound != 0 {
+		c.Duration("evacuation-bound", s.EvacuationBound, 500*time.Millisecond, time.Hour)
+	}
 	c.Duration("stop-timeout", s.StopTimeout, 500*time.Millisecond, time.Hour)
 	c.Duration("flow-lifetime", s.FlowLifetime, time.Second, 24*time.Hour)
 	c.Require(s.MemoryMB >= 16 && s.MemoryMB <= 1<<20, "memory-mb", "a number from 16 to 1048576", s.MemoryMB)
@@ -129,8 +134,12 @@
 	return min(max(settle/2, settle-lostReplyMargin), s.Bound())
 }
 
-// Bound returns the time within which any change of the store must take effect: the smaller of DrainBound and
-// ConfigurationBound.
+// Bound returns the time within which any change of the store must take effect: the smallest of DrainBound,
+// ConfigurationBound and, if it is set, EvacuationBound.
 func (s *Settings) Bound() time.Duration {
-	return time.Duration(min(s.DrainBound, s.ConfigurationBound))
+	bound := min(s.DrainBound, s.ConfigurationBound)
+	if s.EvacuationBound > 0 {
+		bound = min(bound, s.EvacuationBound)
+	}
+	return time.Duration(bound)
 }
--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -31,6 +31,8 @@
 	costJitter = 0.1
 	// crossZoneShare is the share of the target latency that a server in another availability zone must save.
 	crossZoneShare = 0.4
+	// knownPeriod is how long the response time of a server counts as known after its last response.
+	knownPeriod = 2 * time.Second
 	// minCrossZoneCost is the least time that such a server must save, because the round trip between zones takes several
 	// milliseconds.
 	minCrossZoneCost = 10 * time.Millisecond
@@ -44,6 +46,8 @@
 	HashOnly bool
 	// SuspicionChanged is called when a server becomes suspected and when a suspected server responds; it may be nil.
 	SuspicionChanged func(now time.Duration, token uint32, suspected bool)
+	// Shared returns what other entry VMs observed of a server, and false if nothing recent is known; it may be nil.
+	Shared func(now time.Duration, token uint32) (Shared, bool)
 
 	loads            map[uint32]*load
 	zones            map[string]*zone
@@ -57,10 +61,36 @@
 	Hash uint64
 	// TargetLatency is the response time that callers of the route expect.
 	TargetLatency time.Duration
+	// Priority is the priority of the route; 0 is the highest.
+	Priority int
 	// Tried lists the tokens of servers that have not responded to recent SYNs of the caller.
 	Tried []uint32
 }
 
+// Shared is what other entry VMs observed of a server.
+type Shared struct {
+	// ResponseTime is the average over recent responses; 0 if there was none.
+	ResponseTime time.Duration
+	// Samples is the number of responses that ResponseTime covers, decayed by their age.
+	Samples float64
+	// Outstanding is the estimated number of requests outstanding at the server, from the whole availability zone.
+	Outstanding float64
+	// Failures is the number of refused handshakes and unanswered packets, decayed by their age.
+	Failures float64
+}
+
+// Choice is the result of Pick.
+type Choice struct {
+	// Host is the chosen server; nil if there is none.
+	Host *registry.Lifetime
+	// Reason is why there is no server; empty if there is one.
+	Reason string
+	// Expected is the expected response time of the server, with its queue.
+	Expected time.Duration
+	// Known reports whether Expected rests on recent observations of this server by any entry VM.
+	Known bool
+}
+
 // Observe updates the state of the server that the event names by its token.
 func (m *Model) Observe(now time.Duration, e flowevent.Event) {
 	l := m.load(now, e.Host)
@@ -104,9 +134,9 @@
 // Forget removes the state of a lifetime whose token is no longer in use.
 func (m *Model) Forget(token uint32) { delete(m.loads, token) }
 
-// Pick returns the server of hosts with the lowest cost for a new flow, or nil and the reason if there is none. A flow
-// to a suspected server is counted as a trial flow.
-func (m *Model) Pick(now time.Duration, hosts []*registry.Lifetime, f Flow) (*registry.Lifetime, string) {
+// Pick returns the server of hosts with the lowest cost for a new flow. A flow to a suspected server is counted as a
+// trial flow.
+func (m *Model) Pick(now time.Duration, hosts []*registry.Lifetime, f Flow) Choice {
 	unreachable := m.unreachableZones(now, hosts)
 	var best *registry.Lifetime
 	lowest := math.Inf(1)
@@ -129,13 +159,17 @@
 		}
 	}
 	if best == nil {
-		return nil, ReasonNoHost
+		return Choice{Reason: ReasonNoHost}
 	}
 	if l := m.loads[best.Token]; l.suspected() {
 		l.trialAt, l.zone.trialAt = now, now
 		l.trials++
 	}
-	return best, ""
+	l := m.loads[best.Token]
+	return Choice{
+		Host: best, Expected: m.expectedResponse(now, l),
+		Known: l.responseTime > 0 && now-l.respondedAt < knownPeriod,
+	}
 }
 
 // unusableCost is added to the cost of a server that is chosen only if there is no better one, in nanoseconds.
--- a/internal/placement/model_test.go
+++ b/internal/placement/model_test.go
@@ -82,7 +82,7 @@
 		}
 		responses = kept
 		m := &models[random.IntN(entries)]
-		h, _ := m.Pick(now, hosts, Flow{Hash: random.Uint64(), TargetLatency: deadline})
+		h := m.Pick(now, hosts, Flow{Hash: random.Uint64(), TargetLatency: deadline}).Host
 		m.Observe(now, flowevent.Event{Kind: flowevent.Opened, Host: h.Token})
 		m.Observe(now, flowevent.Event{Kind: flowevent.Accepted, Host: h.Token})
 		m.Observe(now, flowevent.Event{Kind: flowevent.Requested, Host: h.Token})
@@ -115,7 +115,7 @@
 	crossZone := func(now time.Duration) int {
 		n := 0
 		for i := range uint64(100) {
-			h, _ := m.Pick(now, hosts, Flow{Hash: i * 7919, TargetLatency: 150 * time.Millisecond})
+			h := m.Pick(now, hosts, Flow{Hash: i * 7919, TargetLatency: 150 * time.Millisecond}).Host
 			if h.AvailabilityZone != localZone {
 				n++
 			}
@@ -148,7 +148,7 @@
 		now += 20 * time.Millisecond
 		m.Observe(now, flowevent.Event{Kind: flowevent.Answered, Host: 1, Elapsed: 200 * time.Millisecond})
 		m.Observe(now, flowevent.Event{Kind: flowevent.Requested, Host: 1})
-		h, _ := m.Pick(now, hosts, Flow{Hash: i * 7919, TargetLatency: 150 * time.Millisecond})
+		h := m.Pick(now, hosts, Flow{Hash: i * 7919, TargetLatency: 150 * time.Millisecond}).Host
 		flows[h.Token]++
 		if h.Token != 1 {
 			m.Observe(now, flowevent.Event{Kind: flowevent.Opened, Host: h.Token})
@@ -177,13 +177,13 @@
 	for range 20 {
 		m.Observe(now, flowevent.Event{Kind: flowevent.Requested, Host: 2})
 	}
-	if h, _ := m.Pick(now, hosts, Flow{}); h.Token != 2 {
+	if h := m.Pick(now, hosts, Flow{}).Host; h.Token != 2 {
 		t.Fatal("a server received a flow right after it failed to respond")
 	}
-	if h, _ := m.Pick(now+2*time.Second, hosts, Flow{}); h.Token != 1 {
+	if h := m.Pick(now+2*time.Second, hosts, Flow{}).Host; h.Token != 1 {
 		t.Fatal("the suspected server received no trial flow after 2 s")
 	}
-	if h, _ := m.Pick(now+2*time.Second, hosts, Flow{}); h.Token != 2 {
+	if h := m.Pick(now+2*time.Second, hosts, Flow{}).Host; h.Token != 2 {
 		t.Fatal("the suspected server received a second trial flow immediately")
 	}
 }
@@ -196,7 +196,7 @@
 ) time.Duration {
 	var tried []uint32
 	for _, after := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
-		h, _ := m.Pick(now+after, hosts, Flow{Hash: hash, TargetLatency: 400 * time.Millisecond, Tried: tried})
+		h := m.Pick(now+after, hosts, Flow{Hash: hash, TargetLatency: 400 * time.Millisecond, Tried: tried}).Host
 		m.Observe(now+after, flowevent.Event{Kind: flowevent.Opened, Host: h.Token})
 		if !unresponsive[h.Token] {
 			m.Observe(now+after+time.Millisecond,
@@ -254,11 +254,11 @@
 	for range 20 {
 		m.Observe(now, flowevent.Event{Kind: flowevent.Requested, Host: 2})
 	}
-	if h, _ := m.Pick(now, hosts, Flow{}); h.Token != 2 {
+	if h := m.Pick(now, hosts, Flow{}).Host; h.Token != 2 {
 		t.Fatal("a server received a flow right after it failed to respond")
 	}
 	m.ClearSuspicion(now, 1)
-	if h, _ := m.Pick(now, hosts, Flow{}); h.Token != 1 {
+	if h := m.Pick(now, hosts, Flow{}).Host; h.Token != 1 {
 		t.Fatal("the server received no flow after it was listed again")
 	}
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -65,6 +65,18 @@
 	TargetLatency time.Duration `cbor:"5,keyasint,omitempty"`
 	// Timeout is the time after which callers give up.
 	Timeout time.Duration `cbor:"6,keyasint,omitempty"`
+	// Priority is the rank of the route's requests under overload; 0 is the highest.
+	Priority int `cbor:"7,keyasint,omitempty"`
+}
+
+// ColdLimit bounds the flows to servers of a service that have just started.
+type ColdLimit struct {
+	// Service is the name of the service.
+	Service string `cbor:"1,keyasint"`
+	// Rate is the number of new flows per second that all entry VMs together may send to one cold server.
+	Rate float64 `cbor:"2,keyasint"`
+	// WarmUp is how long a server is cold after its start.
+	WarmUp time.Duration `cbor:"3,keyasint"`
 }
 
 // Configuration is one version of the operators' configuration.
@@ -75,11 +87,23 @@
 	Routes []Route `cbor:"2,keyasint"`
 	// Services are the names of the services. Servers of other services are not used; an empty list allows all services.
 	Services []string `cbor:"3,keyasint,omitempty"`
+	// ColdLimits are the services whose cold servers have a limit.
+	ColdLimits []ColdLimit `cbor:"4,keyasint,omitempty"`
 }
 
-// Change is a change of one server's entry or of the configuration.
+// ColdLimit returns the limit of a service; its Rate is 0 if there is none.
+func (c *Configuration) ColdLimit(service string) ColdLimit {
+	for _, l := range c.ColdLimits {
+		if l.Service == service {
+			return l
+		}
+	}
+	return ColdLimit{}
+}
+
+// Change is a change of one server's entry, of the evacuation of an availability zone, or of the configuration.
 type Change struct {
-	// Name is the name of the server; empty for a configuration.
+	// Name is the name of the server; empty for an evacuation and for a configuration.
 	Name string `cbor:"1,keyasint,omitempty"`
 	// Era is the era of the store in which the change was read.
 	Era uint64 `cbor:"6,keyasint,omitempty"`
@@ -93,6 +117,10 @@
 	Configuration *Configuration `cbor:"-"`
 	// Fault is the reason why an entry cannot be used; empty for removed and usable entries.
 	Fault string `cbor:"4,keyasint,omitempty"`
+	// Zone is the availability zone of an evacuation; empty for other changes.
+	Zone string `cbor:"7,keyasint,omitempty"`
+	// Evacuated reports whether the operators request the evacuation of Zone.
+	Evacuated bool `cbor:"8,keyasint,omitempty"`
 }
 
 // position returns the position of the change in the store.
@@ -156,13 +184,17 @@
 	OnReplaced func(former, later *Lifetime)
 	// Forgotten is called when a retired lifetime and its token are removed; it may be nil.
 	Forgotten func(token uint32)
+	// EvacuationChanged is called when the evacuation of an availability zone starts or ends; it may be nil.
+	EvacuationChanged func(now time.Duration, zone string, evacuated bool)
 
 	config     Configuration
 	routes     map[netip.AddrPort]*Route
 	names      map[string]*Lifetime // current lifetime of each name
 	tokens     map[uint32]*Lifetime
 	addresses  map[netip.AddrPort]*Lifetime // lifetime to which each address is assigned
-	services   map[string][]*Lifetime       // lifetimes that receive new flows, by service
+	services   map[string][]*Lifetime       // lifetimes that receive new flows, by service, in all zones
+	available  map[string][]*Lifetime       // the same outside evacuated zones, as far as requested; nil is outdated
+	zones      map[string]*evacuation       // by availability zone
 	positions  map[string]history.Position  // position of the last change of each name
 	unassigned map[string]Change            // listed servers whose service is not in the configuration
 	deferred   map[string]*deferredChange   // listed servers whose reports may be outdated, by name
@@ -216,10 +248,6 @@
 // Lifetime returns the lifetime with the given token, or nil.
 func (r *Registry) Lifetime(token uint32) *Lifetime { return r.tokens[token] }
 
-// Hosts returns the lifetimes of a service that receive new flows. The caller must not modify the list, which is valid
-// until the next change of the registry.
-func (r *Registry) Hosts(service string) []*Lifetime { return r.services[service] }
-
 // Each calls f for each lifetime that has a token, in no particular order.
 func (r *Registry) Each(f func(*Lifetime)) {
 	for _, l := range r.tokens {
@@ -236,6 +264,9 @@
 	if c.Configuration != nil {
 		return r.applyConfiguration(now, c.Configuration)
 	}
+	if c.Zone != "" {
+		return r.applyEvacuation(now, &c)
+	}
 	if c.Name == "" || c.position().Compare(r.positions[c.Name]) < 0 { // A later change was already applied.
 		return false
 	}
@@ -309,9 +340,10 @@
 			delete(r.positions, name)
 		}
 	}
+	r.endMissingEvacuations(now, changes, at, storeDown)
 }
 
-// Sweep ends expired grace periods and removes lifetimes that have been gone for longer than the retention.
+// Sweep ends expired grace periods and lapsed evacuations and removes lifetimes that have been gone for longer than the retention.
 func (r *Registry) Sweep(now time.Duration) {
 	gracePeriod, retention := r.GracePeriod, r.Retention
 	if gracePeriod == 0 {
@@ -329,6 +361,7 @@
 		}
 	}
 	r.applyDeferred(now)
+	r.sweepEvacuations(now)
 }
 
 func (r *Registry) forget(l *Lifetime) {
@@ -443,6 +476,7 @@
 		r.unlist(l)
 	} else if !l.listed {
 		r.services[l.Service], l.listed = append(r.services[l.Service], l), true
+		r.available = nil
 	}
 }
 
@@ -451,6 +485,7 @@
 		return
 	}
 	l.listed = false
+	r.available = nil
 	list := r.services[l.Service]
 	i := slices.Index(list, l)
 	r.services[l.Service] = slices.Delete(list, i, i+1)
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -46,6 +47,9 @@
 	Servers []registry.Change `cbor:"2,keyasint"`
 	// Configuration is the active configuration.
 	Configuration registry.Configuration `cbor:"3,keyasint"`
+	// Evacuations are the evacuations of availability zones in force. Older entry VMs refuse a snapshot with evacuations and
+	// read the store.
+	Evacuations []registry.Change `cbor:"5,keyasint,omitempty"`
 	// Confirmed reports whether the store confirmed, Age before the reply, that there was nothing later.
 	Confirmed bool `cbor:"-"`
 	// Age is the time since that confirmation.
@@ -68,6 +72,11 @@
 			return nil, errors.Errorf("snapshot entry of server %q has no host, no address or another name", c.Name)
 		}
 	}
+	for _, c := range s.Evacuations {
+		if c.Zone == "" || !c.Evacuated || c.Name != "" {
+			return nil, errors.Errorf("snapshot has an evacuation without a zone or that is not in force (zone %q)", c.Zone)
+		}
+	}
 	if err := checkRoutes(&s.Configuration); err != nil {
 		return nil, err
 	}
@@ -87,7 +96,7 @@
 // Changes returns the snapshot as changes for a Registry. The configuration is first, because it determines which servers
 // may be used.
 func (s *Snapshot) Changes() []registry.Change {
-	return append([]registry.Change{{Configuration: &s.Configuration}}, s.Servers...)
+	return slices.Concat([]registry.Change{{Configuration: &s.Configuration}}, s.Evacuations, s.Servers)
 }
 
 // Source is the state that Serve serves.
