Log opening packets to servers that turn out to be leaving, with the age of the state

Ruled out: logging every opening packet with its state; the line is written when the change arrives, only if a SYN was forwarded since the last confirmation and the state is older than half of the bound. Change: event late-opening with the ages of opening and state, positions, last announcement and calls in progress; counter late-openings.

--- a/cmd/masticspard/dsr.go
+++ b/cmd/masticspard/dsr.go
@@ -44,6 +44,7 @@
 	held     backlog.Queue // packets that are retried after an update of the registry
 	out      []byte        // packet that is being sent; the buffer is reused
 	resumeAt time.Duration // SYNs are dropped before this time
+	openings openings
 
 	stopTimeout time.Duration
 	eventCounts [flowevent.Repeated + 1]metrics.Counter // by kind
@@ -84,6 +85,11 @@
 	e.Registry.EvacuationChanged = d.logEvacuation
 	e.Registry.Retention = time.Duration(d.settings.FlowLifetime) + time.Duration(d.settings.SettleTime)
 	e.Start()
+	forgotten := e.Registry.Forgotten
+	e.Registry.Forgotten = func(token uint32) {
+		delete(d.openings.last, token)
+		forgotten(token)
+	}
 	// Start has set Observe; the daemon counts each event before it passes the event on.
 	observe := e.Flows.Observe
 	e.Flows.Observe = func(now time.Duration, ev flowevent.Event) {
--- a/cmd/masticspard/dsr_log.go
+++ b/cmd/masticspard/dsr_log.go
@@ -14,6 +14,7 @@
 // logHostState counts and logs a new state of a server.
 func (d *dsrDaemon) logHostState(now time.Duration, l *registry.Lifetime, before registry.State) {
 	d.counters.Add("host-"+l.State.String(), 1)
+	d.logLateOpening(now, l)
 	line := d.log.Check(zap.InfoLevel, "host-state")
 	if line == nil {
 		return // Sampling omits most lines when a full read of a large fleet changes thousands of servers at once.
--- a/cmd/masticspard/dsr_packets.go
+++ b/cmd/masticspard/dsr_packets.go
@@ -39,6 +39,9 @@
 	case dsr.Forward:
 		d.out = d.codec.AppendForward(d.out[:0], b, v.Host.Token, v.Host.Number)
 		d.socket.Send(v.Host.Address, d.out, uint64(v.Host.Token), now)
+		if p.SYN {
+			d.openings.record(now, v.Host.Token)
+		}
 		if p.SYN && !v.Retried {
 			d.logFlow(now, "flow-opened", &p, v)
 		}
--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -342,6 +342,7 @@
 			zap.Uint64("revision", m.Revision), zap.Uint64("own-era", at.Era), zap.Uint64("own-revision", at.Revision))
 	}
 	a := d.peers.group.Handle(now, m, at, d.engine.Registry.Version())
+	d.openings.announcement = announcement{source: m.From, position: history.Position{Era: m.Era, Revision: m.Revision}, at: now}
 	if a.NeedsState {
 		if vm, ok := d.peers.list.Get(m.From); ok {
 			d.peers.stateSource = vm.Control
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -28,7 +28,9 @@
 	r.stateDue = false
 	r.mu.Unlock()
 	if r.ReadPeerState != nil {
+		end := r.beginCall("peer-state")
 		page, err := r.ReadPeerState(ctx)
+		end()
 		if err == nil && page.Era > r.Position().Era && r.noticeEra(page.Era) >= 0 {
 			r.Counters.Add("peer-state-reads", 1)
 			r.reportRestore(page.Position())
@@ -77,7 +79,9 @@
 		return
 	}
 	r.Counters.Add("peer-reads", 1)
+	end := r.beginCall("peer")
 	page, err := r.ReadPeer(ctx)
+	end()
 	if err != nil {
 		r.Counters.Add("peer-retry-unreachable", 1)
 		return
--- a/internal/replica/read.go
+++ b/internal/replica/read.go
@@ -65,7 +65,9 @@
 
 func (r *Replica) readConfiguration(ctx context.Context) time.Duration {
 	if r.ReadPeerConfiguration != nil {
+		end := r.beginCall("peer-configuration")
 		page, err := r.ReadPeerConfiguration(ctx)
+		end()
 		if err == nil {
 			r.Counters.Add("peer-configuration-reads", 1)
 			r.Adopt(page.Changes, r.Position(), false)
@@ -77,7 +79,9 @@
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	started := r.Now()
+	end := r.beginCall("configuration")
 	page, err := r.ReadConfiguration(call)
+	end()
 	if err == nil && r.noticeEra(page.Era) < 0 {
 		err = errOutdated
 	}
@@ -142,6 +146,7 @@
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	started := r.Now()
+	defer r.beginCall("read")()
 	page, err := r.Read(call, after)
 	r.Counters.Observe("store-read", r.Now()-started)
 	return page, err
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -48,6 +48,7 @@
 	stateAt          time.Duration    // when this is or was due
 	fullRead         fullRead
 	interrupt        context.CancelCauseFunc // ends the watch in progress; nil if there is none
+	calls            []*call                 // in progress
 
 	// Written with mu held, so that StoreDown can read them.
 	storeDown   bool          // whether the last call to the store failed
--- a/internal/replica/watch.go
+++ b/internal/replica/watch.go
@@ -108,7 +108,9 @@
 		defer r.setInterrupt(nil)
 	}
 	since, started := r.Position(), r.Now()
+	end := r.beginCall("changes")
 	page, err := r.Watch(call, since.Revision, wait)
+	end()
 	if err != nil && errors.Is(context.Cause(call), errInterrupted) {
 		r.Counters.Add("store-retry-interrupted", 1)
 		return 0, nil
