Close a gap with the state of the entry VM that announced what is missing

Its calls for the changes since then timed out (0.7 s), because the reply has every version of a configuration of 1,400 routes. The state of another entry VM that it took instead, at 51.6 s, had revision 901 while its own zone had 945, and the next one was allowed 3 s later: the change of revision 905 arrived when the state was 5.27 s old, bound 5 s. Ruled out: the store (it served the readers of the zone all the time) and lost announcements (they arrived, after the gap). Change: while announced changes are missing, the state is fetched from the entry VM that announced them first, and again after 0.5 s instead of 3 s.

--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -207,7 +207,7 @@
 func (d *dsrDaemon) fetchSnapshot(ctx context.Context) (replica.Page, error) {
 	err := errors.New("fetch snapshot: no other entry VM available")
 	d.mu.Lock()
-	sources := d.sources()
+	sources := d.snapshotSources()
 	maxAge, complete := d.replica.Age()
 	d.mu.Unlock()
 	if complete {
@@ -252,6 +252,21 @@
 	return p
 }
 
+// snapshotSources returns the entry VMs to fetch a snapshot from. The one that announced changes which are missing here
+// has them; others may lack them, too.
+func (d *dsrDaemon) snapshotSources() []netip.AddrPort {
+	list := d.sources()
+	if d.peers == nil {
+		return nil
+	}
+	a := &d.openings.announcement
+	if vm, ok := d.peers.list.Get(a.source); ok && a.position.Compare(d.replica.Position()) > 0 {
+		list = slices.DeleteFunc(list, func(address netip.AddrPort) bool { return address == vm.Control })
+		list = slices.Insert(list, 0, vm.Control)
+	}
+	return list
+}
+
 // sources returns up to maxSources entry VMs in random order: at most one of each availability zone, the own zone
 // first. A new process without members uses its contacts.
 func (d *dsrDaemon) sources() []netip.AddrPort {
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -72,10 +72,20 @@
 	}
 }
 
+// peerInterval returns the least time between two snapshots from other processes.
+func (r *Replica) peerInterval() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.catchUpDue {
+		return gapReadInterval
+	}
+	return peerReadInterval
+}
+
 // adoptPeer adopts the snapshot of another process while the store does not reply. That process may not yet have read a
 // configuration that was announced to it, so the configuration is read from the store as soon as the store replies.
 func (r *Replica) adoptPeer(ctx context.Context) {
-	if r.ReadPeer == nil || r.peerReadAt > 0 && r.Now()-r.peerReadAt < peerReadInterval {
+	if r.ReadPeer == nil || r.peerReadAt > 0 && r.Now()-r.peerReadAt < r.peerInterval() {
 		return
 	}
 	r.Counters.Add("peer-reads", 1)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -25,6 +25,9 @@
 	peerDelay = 150 * time.Millisecond
 	// peerReadInterval is the least time between two snapshots from other processes.
 	peerReadInterval = 3 * time.Second
+	// gapReadInterval is the same while changes are missing that others have announced. The snapshot of a process that lacks
+	// them, too, must not delay the next one beyond the bounds of the state.
+	gapReadInterval = 500 * time.Millisecond
 	// roleCheckInterval is the time between two calls of ShouldRead while it returns false.
 	roleCheckInterval = 200 * time.Millisecond
 	// stateSpread is the time over which the entry VMs of a zone fetch the state from the one that announced a new era.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -630,6 +630,27 @@
 	is.True(<-waits <= c.WatchTimeout()-c.BatchDelay)
 }
 
+// Guards against an entry VM that exceeds the bounds of the state, because the first snapshot that it gets instead of the
+// changes since a gap does not have all of them.
+func TestGapIsClosedAfterOlderPeerState(t *testing.T) {
+	is := is.New(t)
+	s := newStubStore()
+	s.reader = false
+	c := s.config()
+	revisions := make(chan uint64, 2)
+	revisions <- 12
+	revisions <- 20
+	c.ReadPeer = func(context.Context) (Page, error) { return Page{Revision: <-revisions}, nil }
+	c.ReadPeerConfiguration = func(context.Context) (Page, error) { return Page{}, nil }
+	r := s.follow(t, c)
+	r.CatchUp() // No call for the changes gets a reply.
+	s.expect(t, "lost", "adopt", "adopt older")
+	started := c.Now()
+	s.expect(t, "adopt")
+	is.True(c.Now()-started < peerReadInterval/2)
+	expectRevision(t, r, 20)
+}
+
 // Guards against an entry VM that never gets the changes since a gap, because they do not fit through its link in time.
 func TestChangesThatTakeTooLongComeFromPeer(t *testing.T) {
 	s := newStubStore()
