Exchange load reports in the daemon

Cause: the events of flows did not reach package loadreport. Without a peer address nothing changes.

--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -18,6 +18,7 @@
 	dsrsettings "github.com/masticspar/masticspar/internal/dsr/settings"
 	"github.com/masticspar/masticspar/internal/fabric"
 	"github.com/masticspar/masticspar/internal/history"
+	"github.com/masticspar/masticspar/internal/loadreport"
 	"github.com/masticspar/masticspar/internal/lookup"
 	"github.com/masticspar/masticspar/internal/member"
 	"github.com/masticspar/masticspar/internal/registry"
@@ -31,6 +32,7 @@
 	kindAnnouncement
 	kindLookup
 	kindBootstrap
+	kindLoadReport
 )
 
 // maxSources is the maximum number of entry VMs that are queried for a snapshot or a token at a time.
@@ -50,6 +52,7 @@
 	group     announce.Group
 	resolver  lookup.Resolver
 	bootstrap bootstrap.Agent
+	loads     loadreport.Exchange
 	actions   chan bootstrap.Action // what the replica has to do at the start
 	socket    *fabric.Socket
 	counters  *counter.Set
@@ -79,6 +82,9 @@
 	p.group = announce.Group{
 		Self: s.Name, AvailabilityZone: s.AvailabilityZone, Bound: s.Bound(), Send: p.sendAnnouncement,
 	}
+	p.loads = loadreport.Exchange{
+		Self: s.Name, AvailabilityZone: s.AvailabilityZone, Seed: p.list.Seed, Send: p.sendLoadReport, Counters: counters,
+	}
 	p.bootstrap = bootstrap.Agent{
 		Address: s.PeerAddress, AvailabilityZone: s.AvailabilityZone, Size: p.list.Self.Size, Seed: p.list.Seed,
 		Contacts: contacts(s),
@@ -130,7 +136,13 @@
 	p.counters.Add("member-"+m.State.String(), 1)
 	p.log.Info("member-state", zap.String("member", m.Name), zap.Stringer("state", m.State),
 		zap.Uint64("incarnation", m.Incarnation))
-	p.group.SetMembers(p.list.Active())
+	p.setMembers()
+}
+
+func (p *peers) setMembers() {
+	active := p.list.Active()
+	p.group.SetMembers(active)
+	p.loads.SetMembers(active)
 }
 
 // startPeers opens the socket for other entry VMs. It does nothing when the settings have no peer address.
@@ -152,7 +164,8 @@
 	p.socket, d.peers = socket, p
 	p.list.Start(d.timer.Now(), contacts(s))
 	p.group.Start(d.timer.Now(), len(s.Contacts) == 0)
-	p.group.SetMembers(p.list.Active())
+	p.setMembers()
+	d.connectLoadReports()
 	undo.Add(d.timer.Subscribe(dsr.TickPeriod, func(now time.Duration) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -160,6 +173,7 @@
 		p.group.Tick(now)
 		p.resolver.Tick(now)
 		p.bootstrap.Tick(now)
+		p.loads.Tick(now)
 		p.socket.Flush()
 	}))
 	undo.Add(d.timer.OnPause(func(now, _ time.Duration) {
@@ -327,6 +341,8 @@
 			return err
 		}
 		d.peers.bootstrap.Handle(now, m)
+	case kindLoadReport:
+		return d.handleLoadReport(now, b[1:])
 	default:
 		return errors.Errorf("unknown datagram kind %d", b[0])
 	}
