Forget a reported server in constant time

Cause: Forget searched the list of marked servers each time, while the daemon holds the lock that packets wait for. Change: Forget removes the mark; the next tick removes the server from the list, also while the zone has no other member.

--- a/internal/loadreport/exchange.go
+++ b/internal/loadreport/exchange.go
@@ -119,7 +119,7 @@
 		x.updateHeard(now)
 		x.sweep(now)
 	}
-	if len(x.listed) == 0 || len(x.members) == 0 {
+	if len(x.listed) == 0 {
 		return
 	}
 	x.selectRecent(now)
--- a/internal/loadreport/exchange_test.go
+++ b/internal/loadreport/exchange_test.go
@@ -212,7 +212,10 @@
 	is.True(!ok)
 	f.vms[0].SetLoaded(f.now, 1, false)
 	f.vms[0].SetLoaded(f.now, 99, false)
+	f.vms[0].SetLoaded(f.now, 1, true)
+	f.vms[0].Forget(1) // Its token is no longer in use.
 	f.tick()
+	is.Equal(len(f.vms[0].listed), 0)
 	is.Equal(f.sent, 0)
 }
 
--- a/internal/loadreport/own.go
+++ b/internal/loadreport/own.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/masticspar/masticspar/internal/flowevent"
@@ -80,8 +79,8 @@
 
 // Forget removes what is known of a server whose token is no longer in use.
 func (x *Exchange) Forget(token uint32) {
-	if o := x.observations[token]; o != nil && o.listed {
-		x.listed = slices.DeleteFunc(x.listed, func(other *observation) bool { return other == o })
+	if o := x.observations[token]; o != nil {
+		o.loaded, o.unloadedAt = false, never // The next tick removes it from listed.
 	}
 	delete(x.observations, token)
 	x.dropServer(token)
