Count the headers of IPv6 in the budget of load reports

Cause: The budget counted 28 bytes of headers for each report, but peer addresses may be IPv6 addresses. Then 20 reports a second exceed the 8 KB by some 400 bytes. Change: A report counts 48 bytes of headers.

--- a/internal/loadreport/exchange.go
+++ b/internal/loadreport/exchange.go
@@ -21,8 +21,8 @@
 	bytesPerSecond = 8000
 	// bytesPerTick spreads the budget over the second; it exceeds the size of the largest datagram.
 	bytesPerTick = 1600
-	// datagramBytes is the size of the kind of a datagram and of its headers of IP and UDP.
-	datagramBytes = 1 + 28
+	// datagramBytes is the size of the kind of a datagram and of its headers of IPv6 and UDP.
+	datagramBytes = 1 + 48
 	// minPeriod is the shortest time between two reports to the same member.
 	minPeriod = 500 * time.Millisecond
 	// roundTime is the time within which the sizes of reports are chosen to reach all members. A receiver then has an
