--- a/internal/loadreport/estimate.go
+++ b/internal/loadreport/estimate.go
@@ -13,8 +13,8 @@
 	cacheTime = 50 * time.Millisecond
 	// maxDeviation is the greatest factor between the response time of a reporter and the median of all.
 	maxDeviation = 2
-	// maxLone is the number of outstanding requests or failures that one reporter may have if the others have fewer.
-	maxLone = 4
+	// maxUnconfirmed is the number of outstanding requests or failures that one reporter may have if the others have fewer.
+	maxUnconfirmed = 4
 	// maxScale is the greatest factor by which outstanding requests are scaled from a part of the requests of a reporter
 	// to all of them, and from the reporters to the zone. A few reporters say little about the requests of tens of others.
 	maxScale = 8
@@ -225,8 +225,8 @@
 	}
 	e.ResponseTime, e.Samples = meanResponse(x.live)
 	if x.heard > 1 { // A single reporter cannot be compared with others.
-		outstanding.limit(max(maxLone, outstanding.rest()))
-		failures.limit(max(maxLone, failures.rest()))
+		outstanding.limit(max(maxUnconfirmed, outstanding.rest()))
+		failures.limit(max(maxUnconfirmed, failures.rest()))
 	}
 	e.Failures = failures.sum
 	if x.heardWeight > 0 {
