Check a configuration of the token mode before it is published

Cause: masticsparctl checked only the documents of the owner mode, so a fault in op/config was found when entry VMs refused it or reset flows. Removing a route does not end its open flows: entry VMs forward them by token. The report says so, and a test of package dsr holds it. Ruled out: decoding the fields of a map before the whole configuration.

--- a/cmd/masticsparctl/check.go
+++ b/cmd/masticsparctl/check.go
@@ -48,7 +48,7 @@
 func (c *command) check(a arguments) int {
 	switch {
 	case a.inventory == "" || a.rules == "":
-		return c.fail(errors.WithType(errors.New("check requires --inventory and --rules"), errUsage))
+		return c.fail(errors.WithType(errors.New("check requires --inventory and --rules, or --configuration"), errUsage))
 	case (a.oldInventory == "") != (a.oldRules == ""):
 		return c.fail(errors.WithType(errors.New("--old-inventory and --old-rules must be used together"), errUsage))
 	case a.oldInventory != "" && a.operator != "":
--- a/cmd/masticsparctl/client.go
+++ b/cmd/masticsparctl/client.go
@@ -14,9 +14,11 @@
 	"github.com/masticspar/masticspar/internal/operator"
 )
 
-// Error types that select the exit code. errUnreachable also marks responses that cannot be used.
+// Error types that select the exit code. errUnreachable also marks responses that cannot be used. errUnreadable marks
+// the input of check --configuration.
 const (
 	errUsage       = errors.ConstError("usage")
+	errUnreadable  = errors.ConstError("unreadable")
 	errRefused     = errors.ConstError("refused")
 	errUnreachable = errors.ConstError("unreachable")
 )
@@ -96,7 +98,7 @@
 func (c *command) fail(err error) int {
 	_, _ = fmt.Fprintln(c.stderr, "masticsparctl:", err)
 	switch {
-	case errors.Is(err, errUsage):
+	case errors.Is(err, errUsage), errors.Is(err, errUnreadable):
 		return exitUsage
 	case errors.Is(err, errUnreachable):
 		return exitUnreachable
--- a/cmd/masticsparctl/main.go
+++ b/cmd/masticsparctl/main.go
@@ -24,6 +24,8 @@
 
 type arguments struct {
 	operator, inventory, rules, oldInventory, oldRules string
+	configuration, old, store                          string
+	flowLifetime                                       time.Duration
 	protocol, source, destination                      string
 	match, from, to                                    string
 	json                                               bool
@@ -37,7 +39,7 @@
 }
 
 func run(args []string, stdout, stderr io.Writer) int {
-	a := arguments{timeout: 5 * time.Second}
+	a := arguments{timeout: 5 * time.Second, flowLifetime: time.Minute}
 	p := flaggy.NewParser("masticsparctl")
 	p.Description = "Checks documents and queries entry VMs."
 	p.AdditionalHelpAppend = "Example: masticsparctl status --operator 127.0.0.1:7080\n" + exitCodes
@@ -45,11 +47,20 @@
 	check := addCommand(p, "check", "validate documents and show what they would change",
 		"Examples: masticsparctl check --inventory inventory.json --rules rules.json\n"+
 			"          masticsparctl check --inventory inventory.json --rules rules.json --operator 127.0.0.1:7080\n"+
-			"          masticsparctl check --inventory new.json --rules rules.json --old-inventory old.json --old-rules rules.json")
-	check.String(&a.inventory, "i", "inventory", "inventory file (required)")
-	check.String(&a.rules, "r", "rules", "rules file (required)")
+			"          masticsparctl check --inventory new.json --rules rules.json --old-inventory old.json --old-rules rules.json\n"+
+			"Token mode: masticsparctl check --configuration new.json --old old.json\n"+
+			"          masticsparctl check --configuration - --store 127.0.0.1:7104 --json < new.json\n"+
+			"With --configuration, 0 means no findings, 1 findings, 2 wrong usage or an unreadable file or store.")
+	check.String(&a.inventory, "i", "inventory", "inventory file (required in the owner mode)")
+	check.String(&a.rules, "r", "rules", "rules file (required in the owner mode)")
 	check.String(&a.oldInventory, "", "old-inventory", "inventory file to compare with")
 	check.String(&a.oldRules, "", "old-rules", "rules file to compare with")
+	check.String(&a.configuration, "c", "configuration",
+		"configuration file of the token mode, in JSON or CBOR, or - for standard input")
+	check.String(&a.old, "", "old", "configuration file to compare with")
+	check.String(&a.store, "s", "store", "\"ip:port\" of the store, for the version in force, evacuations and servers")
+	check.Duration(&a.flowLifetime, "", "flow-lifetime",
+		"maximum age of an open flow in the settings of the entry VMs")
 	status := addCommand(p, "status", "show documents, peers and backend servers of an entry VM",
 		"Example: masticsparctl status --operator 127.0.0.1:7080 --json")
 	flow := addCommand(p, "flow", "show the owner and the backend server of a flow",
@@ -69,7 +80,7 @@
 	for _, s := range []*flaggy.Subcommand{check, status, flow, drain} {
 		s.String(&a.operator, "o", "operator", "operator address of an entry VM as \"ip:port\"")
 		s.Bool(&a.json, "j", "json", "write the result as JSON")
-		s.Duration(&a.timeout, "t", "timeout", "timeout of the request to the entry VM")
+		s.Duration(&a.timeout, "t", "timeout", "timeout of the request to the entry VM, or of reading the store")
 	}
 	// The parser exits the process itself: with code 0 after help and with code 2 after invalid flags.
 	if err := p.ParseArgs(args); err != nil {
@@ -79,6 +90,9 @@
 	c := &command{stdout: stdout, stderr: stderr, client: client{address: a.operator, timeout: a.timeout}, json: a.json}
 	switch {
 	case check.Used:
+		if a.configuration != "" || a.old != "" || a.store != "" {
+			return c.checkConfiguration(a)
+		}
 		return c.check(a)
 	case status.Used:
 		return c.status()
--- a/internal/dsr/engine_test.go
+++ b/internal/dsr/engine_test.go
@@ -139,6 +139,17 @@
 	is.Equal(e.caller(2).syn(), Verdict{Action: Reset, Reason: placement.ReasonNoHost})
 }
 
+// Guards against a wrong statement of masticsparctl check, which says that open flows of a removed route are forwarded.
+func TestOpenFlowOfRemovedRouteIsForwarded(t *testing.T) {
+	is := is.New(t)
+	e := newTestEngine(t, 1)
+	c := e.caller(1)
+	c.open()
+	e.Registry.Apply(e.now, registry.Change{Configuration: &registry.Configuration{Version: 2}}, false)
+	is.Equal(c.send(100).Action, Forward)
+	is.Equal(e.caller(2).syn(), Verdict{Action: Reset, Reason: ReasonNoRoute})
+}
+
 // Guards against a caller waiting for its timeout because its address has no route.
 func TestSYNWithoutRouteIsReset(t *testing.T) {
 	is := is.New(t)
