soak: evacuate a zone and take it back

Cause: no soak run evacuated a zone. Change: the fault zone-evacuated writes op/evacuate/ZONE and removes it after 7 s. A server of the zone must get no flow later than evacuation-bound through an undisturbed daemon, open flows must stay, and the zone must get flows in the quiet time. A refused flow is a violation as before while its service has a settled server outside such zones; without an evacuation the check is unchanged. Each service starts with servers in both zones; before, an evacuation would have left one of them without servers. A restored store gets the keys in force again. Random faults with it were not run.

--- a/cmd/soak/check.go
+++ b/cmd/soak/check.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// drainBound and configurationBound are the defaults of the settings, which the daemons use. margin is added to
-	// both for scheduling delays of the machine.
+	// drainBound and configurationBound are the defaults of the settings, which the daemons use. evacuationBound is that
+	// of the platform. margin is added to all of them for scheduling delays of the machine.
 	drainBound         = 3 * time.Second
 	configurationBound = 3 * time.Second
+	evacuationBound    = 5 * time.Second
 	margin             = 500 * time.Millisecond
 	maxViolations      = 20 // in the report
 )
@@ -26,6 +27,8 @@
 // involved.
 type checker struct {
 	holder func(k *caller.Flow) *backend.Server // returns the live server of a flow, or nil
+	// servable reports whether a service has servers that take new flows in spite of evacuations.
+	servable func(service string) bool
 
 	mu            sync.Mutex
 	quiet         bool            // set in the last settleTime of the run, to fill quietOutcomes
@@ -43,6 +46,8 @@
 	routeAddedAt         map[netip.AddrPort]time.Time // when a route was added
 	routeRemovedAt       map[netip.AddrPort]time.Time // when a route was removed
 	routeServices        map[netip.AddrPort]string    // service of each route that was ever published
+	evacuatedSince       map[string]time.Time         // when a zone that is evacuated was published as such
+	quietFlows           map[string]int               // flows that reached the servers of a zone in the last settleTime
 }
 
 func newChecker() *checker {
@@ -51,7 +56,7 @@
 		quietOutcomes: map[caller.Outcome]int{}, entryDisturbedUntil: map[netip.Addr]time.Time{},
 		serverDisturbedUntil: map[string]time.Time{}, leavingSince: map[string]time.Time{},
 		routeAddedAt: map[netip.AddrPort]time.Time{}, routeRemovedAt: map[netip.AddrPort]time.Time{},
-		routeServices: map[netip.AddrPort]string{},
+		routeServices: map[netip.AddrPort]string{}, evacuatedSince: map[string]time.Time{}, quietFlows: map[string]int{},
 	}
 }
 
@@ -77,10 +82,15 @@
 
 // openFailed records and checks the outcome of a flow that could not be opened; from is the entry VM that reset it.
 func (c *checker) openFailed(o caller.Outcome, service netip.AddrPort, from netip.Addr) {
+	c.mu.Lock()
+	name := c.routeServices[service]
+	c.mu.Unlock()
+	servable := c.servable(name)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.count("open-" + o)
-	if _, removed := c.routeRemovedAt[service]; removed || o != caller.OutcomeResetByEntry || !c.undisturbed(from) {
+	_, removed := c.routeRemovedAt[service]
+	if removed || o != caller.OutcomeResetByEntry || !c.undisturbed(from) || !servable {
 		return
 	}
 	if age := time.Since(c.routeAddedAt[service]); age > configurationBound+margin {
@@ -118,6 +128,9 @@
 	if c.routeServices[service] != s.Service {
 		c.addViolation("server %s of %s got a flow of %v", s.Name, s.Service, service)
 	}
+	if c.quiet {
+		c.quietFlows[s.AvailabilityZone]++
+	}
 	if !c.undisturbed(from) {
 		return
 	}
@@ -125,6 +138,10 @@
 		c.addViolation("server %s got a flow from %s %v after it was published as leaving",
 			s.Name, from, time.Since(at))
 	}
+	if at, ok := c.evacuatedSince[s.AvailabilityZone]; ok && time.Since(at) > evacuationBound+margin {
+		c.addViolation("server %s got a flow from %s %v after its zone %s was evacuated",
+			s.Name, from, time.Since(at), s.AvailabilityZone)
+	}
 	if at, ok := c.routeRemovedAt[service]; ok && time.Since(at) > configurationBound+margin {
 		c.addViolation("server %s got a flow from %s %v after its route was removed", s.Name, from, time.Since(at))
 	}
@@ -174,6 +191,29 @@
 	c.leavingSince[name] = time.Now()
 }
 
+func (c *checker) publishEvacuation(zone string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evacuatedSince[zone] = time.Now()
+}
+
+func (c *checker) endEvacuation(zone string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.evacuatedSince, zone)
+}
+
+// checkReturned checks that zones that were taken back get flows again.
+func (c *checker) checkReturned(zones []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, zone := range zones {
+		if c.quietFlows[zone] == 0 {
+			c.addViolation("the servers of %s got no flow in the quiet time, after the zone was taken back", zone)
+		}
+	}
+}
+
 func (c *checker) publishRoute(r *registry.Route, removed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -48,6 +48,9 @@
 	// unansweredTime is how long the store gives no reply to most daemons of a zone. A daemon that keeps the server that leaves
 	// meanwhile for longer than the bound is noticed in it.
 	unansweredTime = drainBound + margin + 1500*time.Millisecond
+	// evacuationTime is how long a zone stays evacuated. A daemon that sends flows to it for longer than the bound is
+	// noticed in it.
+	evacuationTime = evacuationBound + margin + 1500*time.Millisecond
 	// storeRecoveryTime is the time from the end of a proxy fault until the disturbance of its daemon ends. It is longer
 	// than the watch timeout, so the daemon has detected a lost reply by then.
 	storeRecoveryTime = 4 * time.Second
@@ -79,6 +82,7 @@
 		{"slow", s.slowDaemon},
 		{"late-reports", s.delayReports},
 		{"unanswered", s.silenceStoreForZone},
+		{"zone-evacuated", s.evacuateZone},
 	}
 }
 
@@ -295,6 +299,7 @@
 		time.Sleep(outage)
 		s.store.Restore(backup)
 		s.changeRoute(own, 0)
+		s.rewriteEvacuations()
 		s.store.SetFaults(store.Faults{})
 		servers := s.allServers()
 		for _, v := range servers {
@@ -307,6 +312,90 @@
 	}
 }
 
+// evacuateZone evacuates a zone and takes it back after evacuationTime. Only one zone is evacuated at a time.
+func (s *site) evacuateZone(random *rand.Rand, _ time.Duration) func() {
+	zone := zoneOf(random.IntN(zones))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.evacuated != "" {
+		return nil
+	}
+	s.evacuated = zone
+	s.writeEvacuations()
+	s.checker.publishEvacuation(zone)
+	since := time.Now()
+	return func() {
+		time.Sleep(evacuationTime - time.Since(since))
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.checker.endEvacuation(zone)
+		s.evacuated, s.returnedAt[zone] = "", time.Now()
+		s.writeEvacuations()
+	}
+}
+
+// rewriteEvacuations writes the evacuations to a store that was restored.
+func (s *site) rewriteEvacuations() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writeEvacuations()
+}
+
+// writeEvacuations writes the key of the evacuated zone and removes those of the others. s.mu must be locked.
+func (s *site) writeEvacuations() {
+	for i := range zones {
+		if key := wire.EvacuationKey(zoneOf(i)); s.evacuated == zoneOf(i) {
+			s.store.Put(key, emptyMap)
+		} else {
+			s.store.Delete(key)
+		}
+	}
+}
+
+// isServable reports whether a service has servers that take new flows. While no zone is evacuated, and none was taken
+// back recently, the faults leave such a server to each service.
+func (s *site) isServable(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	avoided := map[string]bool{}
+	if s.evacuated != "" {
+		avoided[s.evacuated] = true
+	}
+	for zone, at := range s.returnedAt {
+		if time.Since(at) <= evacuationBound+margin {
+			avoided[zone] = true
+		}
+	}
+	if len(avoided) == 0 {
+		return true
+	}
+	for _, v := range s.servers {
+		if v.Service == service && !v.ending && !avoided[v.AvailabilityZone] &&
+			time.Since(time.UnixMilli(v.Started)) > settleTime {
+			return true
+		}
+	}
+	return false
+}
+
+// returnedZones returns the zones that were taken back and have settled servers as well as daemons.
+func (s *site) returnedZones() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []string
+	for zone := range s.returnedAt {
+		hasDaemon := slices.ContainsFunc(s.daemons, func(d *daemon) bool { return d.zone == zone })
+		for _, v := range s.servers {
+			if hasDaemon && v.AvailabilityZone == zone && !v.ending &&
+				time.Since(time.UnixMilli(v.Started)) > quietTime {
+				list = append(list, zone)
+				break
+			}
+		}
+	}
+	return list
+}
+
 // randomServer returns a server that no fault will stop and that is not the last such one of its service, or nil.
 func (s *site) randomServer(random *rand.Rand) *server {
 	s.mu.Lock()
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -110,6 +110,7 @@
 	time.Sleep(settleTime)
 	close(done)
 	group.Wait()
+	s.checker.checkReturned(s.returnedZones())
 	return s.checker.report(o.Seed, s.faults), nil
 }
 
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -67,9 +67,11 @@
 	servers      map[string]*server     // by name
 	blockedPaths map[[2]netip.Addr]bool // from daemon to server
 	config       registry.Configuration
-	number       int        // of the server that was started last
-	lateFaults   int        // active faults that delay reports
-	lateness     *rand.Rand // of reports while lateFaults is greater than zero
+	number       int                  // of the server that was started last
+	evacuated    string               // zone that is evacuated, or empty
+	returnedAt   map[string]time.Time // when a zone was last taken back
+	lateFaults   int                  // active faults that delay reports
+	lateness     *rand.Rand           // of reports while lateFaults is greater than zero
 }
 
 // server is a backend server and the function that stops it. Its other fields are protected by site.mu.
@@ -101,9 +103,9 @@
 	s := &site{
 		options: o, subnet: byte(10 + o.Seed%200), checker: newChecker(), store: &store.Server{}, faults: map[string]int{},
 		servers: map[string]*server{}, blockedPaths: map[[2]netip.Addr]bool{},
-		lateness: rand.New(rand.NewPCG(o.Seed, 1<<33)),
+		returnedAt: map[string]time.Time{}, lateness: rand.New(rand.NewPCG(o.Seed, 1<<33)),
 	}
-	s.checker.holder = s.holder
+	s.checker.holder, s.checker.servable = s.holder, s.isServable
 	stop, err := cleanup.Start(s.startStore, s.startServers, s.startDaemons, s.startRouter)
 	return s, stop, err
 }
@@ -158,7 +160,19 @@
 	}, nil
 }
 
-func zoneOf(i int) string { return fmt.Sprint("zone-", i%2) }
+// zones is the number of availability zones.
+const zones = 2
+
+// emptyMap is an empty map in CBOR, the value of an evacuation.
+var emptyMap = []byte{0xa0}
+
+func zoneOf(i int) string { return fmt.Sprint("zone-", i%zones) }
+
+// zoneOfServer returns the zone of the servers at an address. Each service starts with servers in all zones if there
+// are enough of them.
+func zoneOfServer(address netip.Addr) string {
+	return zoneOf((int(address.As4()[3]) - 1) / len(services))
+}
 
 // addServer starts a server with a new name and adds it to the registry.
 func (s *site) addServer(service string, address netip.AddrPort) (*server, error) {
@@ -168,7 +182,7 @@
 	s.mu.Unlock()
 	return s.startServer(registry.Host{
 		Name: fmt.Sprintf("i-%x", number), Number: number, Service: service, Address: address,
-		AvailabilityZone: zoneOf(int(address.Addr().As4()[3])), Slots: 2,
+		AvailabilityZone: zoneOfServer(address.Addr()), Slots: 2,
 	})
 }
 
@@ -300,7 +314,7 @@
 		"contacts": []netip.AddrPort{
 			netip.AddrPortFrom(s.ip(daemonNet, 0), peerPort), netip.AddrPortFrom(s.ip(daemonNet, 1), peerPort),
 		},
-		"store": storeAddress,
+		"store": storeAddress, "evacuation-bound": evacuationBound.String(),
 	})
 	if err != nil {
 		return errors.Trace(err)
