Check target latencies without a timeout, and report a refused configuration in the store

Cause: a target latency was only compared with a timeout above 0, so that any value, also one that overflows a duration, passed without one. A configuration in the store that entry VMs refuse was treated as none: nothing said that the version in force is unknown and not compared. A change of the target latency was shown without effect on open flows, although flows of idempotent routes are reset after three times the target latency if their server is silent. Change: without a timeout the maximum age of a flow applies. State has the fault of the configuration in the store, which is a warning. The difference names the effect. The targets are decided by written.Target.Counts. Measured: the tests of configcheck and masticsparctl cover the first two and pass.

--- a/cmd/masticsparctl/configuration.go
+++ b/cmd/masticsparctl/configuration.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -99,7 +100,8 @@
 	return d, errors.Annotate(err, name)
 }
 
-// readStore reads the whole store once. The configuration is nil if the store has none yet.
+// readStore reads the whole store once. The configuration is nil if the store has none that
+// entry VMs accept.
 func readStore(address string, timeout time.Duration) (*registry.Configuration, *configcheck.State, error) {
 	client, stop := store.New(address)
 	defer stop()
@@ -120,6 +122,8 @@
 			switch {
 			case c.Configuration != nil:
 				inForce = c.Configuration
+			case strings.HasPrefix(c.Fault, store.ConfigurationFault):
+				s.ConfigurationFault = strings.TrimPrefix(c.Fault, store.ConfigurationFault)
 			case c.Evacuated:
 				s.EvacuatedZones = append(s.EvacuatedZones, c.Zone)
 			case c.Host != nil:
--- a/cmd/masticsparctl/configuration_test.go
+++ b/cmd/masticsparctl/configuration_test.go
@@ -84,6 +84,10 @@
 	code, r := check() // There is no configuration yet.
 	is.Equal(code, exitInvalid)
 	is.Equal(r.Findings[0].Text, "has no server for new flows: all of its servers are in evacuated zones (a, b)")
+	s.Put(wire.ConfigurationKey, []byte{0xa0}) // Entry VMs refuse it.
+	code, r = check()
+	is.Equal(code, exitInvalid)
+	is.True(strings.Contains(r.Findings[0].Text, "cannot be compared: entry VMs refuse the configuration in the store"))
 	s.Delete(wire.EvacuationKey("b"))
 	s.Put(wire.ConfigurationKey, wire.ConfigurationEntry(&registry.Configuration{Version: 2}))
 	code, r = check()
--- a/internal/configcheck/check.go
+++ b/internal/configcheck/check.go
@@ -32,6 +32,8 @@
 	Hosts []registry.Host
 	// EvacuatedZones are the names of the availability zones that are evacuated.
 	EvacuatedZones []string
+	// ConfigurationFault is why entry VMs refuse the configuration in the store; empty if they accept it or there is none.
+	ConfigurationFault string
 }
 
 // Finding is a fault or a probable mistake.
@@ -112,13 +114,10 @@
 
 func servicePath(i int, field string) string { return fmt.Sprintf("services[%d].%s", i, field) }
 
-// isTarget reports whether flows of the route go to the target.
-func isTarget(t written.Target) bool { return t.Weight > 0 && t.Weight <= maxWeight }
-
 // targetsOf returns the services that receive flows of a route, with the path of each.
 func targetsOf(i int, r *written.Route) (names, paths []string) {
 	for j, t := range r.Split {
-		if isTarget(t) {
+		if t.Counts() {
 			names, paths = append(names, t.Service), append(paths, routePath(i, fmt.Sprintf("traffic_split[%d].service", j)))
 		}
 	}
--- a/internal/configcheck/check_test.go
+++ b/internal/configcheck/check_test.go
@@ -53,6 +53,10 @@
 		{"no service", `"service":"second"}]`, `"service":"x"}]`, "error routes[1].service x"},
 		{"no target", `"second","weight"`, `"x","weight"`, "error routes[0].traffic_split[1].service x"},
 		{"target", `150`, `1001`, "error routes[0].target_latency_ms 1001"},
+		{
+			"target, no timeout", `"timeout_ms":1000,"target_latency_ms":150`, `"target_latency_ms":9000000000000000000`,
+			"error routes[0].target_latency_ms 9000000000000000000; error limits.idle_timeout_ms 15000",
+		},
 		{"target < 0", `150`, `-1`, "error routes[0].target_latency_ms -1"},
 		{"timeout", `3000`, `60001`, "error routes[1].timeout_ms 60001"},
 		{"timeout < 0", `3000`, `-1`, "error routes[1].timeout_ms -1"},
--- a/internal/configcheck/difference.go
+++ b/internal/configcheck/difference.go
@@ -22,6 +22,7 @@
 	effectStay    = "stay at their servers"
 	effectRemoved = "entry VMs forward them until they end; new flows are reset"
 	effectRetry   = "are reset, or no longer reset, if their server is lost"
+	effectSilence = "may be reset earlier or later if their server is silent"
 )
 
 // effectUnlisted is the effect of a service that is no longer listed. Entry VMs forget its servers after the
@@ -89,7 +90,11 @@
 		add("name", old.Name, r.Name, effectNone)
 		add("services", formatTargets(old.Targets), formatTargets(r.Targets), effectStay)
 		add("idempotent", old.Idempotent, r.Idempotent, effectRetry)
-		add("target-latency", old.TargetLatency, r.TargetLatency, effectNone)
+		silence := effectNone
+		if r.Idempotent { // Other flows are not reset because of a silent server.
+			silence = effectSilence
+		}
+		add("target-latency", old.TargetLatency, r.TargetLatency, silence)
 		add("timeout", old.Timeout, r.Timeout, effectNone)
 		add("priority", old.Priority, r.Priority, effectNone)
 	}
--- a/internal/configcheck/limits.go
+++ b/internal/configcheck/limits.go
@@ -13,6 +13,9 @@
 			c.addError(routePath(i, "target_latency_ms"), r.TargetLatency, "must not be negative")
 		case r.Timeout > 0 && r.TargetLatency > r.Timeout:
 			c.addError(routePath(i, "target_latency_ms"), r.TargetLatency, "is above timeout_ms (%d)", r.Timeout)
+		case r.Timeout == 0 && r.TargetLatency > lifetime:
+			c.addError(routePath(i, "target_latency_ms"), r.TargetLatency, "is above the maximum age of a flow (%v)",
+				c.FlowLifetime)
 		}
 		switch {
 		case r.Timeout < 0:
--- a/internal/configcheck/unused.go
+++ b/internal/configcheck/unused.go
@@ -2,14 +2,10 @@
 
 import (
 	"fmt"
-	"math"
 	"net/netip"
 	"strings"
 )
 
-// maxWeight is the greatest weight of a target that counts.
-const maxWeight = math.MaxFloat64
-
 // checkRoutes finds routes that no flow matches.
 func (c *checker) checkRoutes() {
 	if c.Document.Used == nil {
@@ -45,7 +41,7 @@
 		for j, t := range r.Split {
 			path := routePath(i, fmt.Sprintf("traffic_split[%d].weight", j))
 			switch {
-			case isTarget(t):
+			case t.Counts():
 				counted = true
 			case t.Weight == 0:
 				c.addWarning(path, t.Weight, "never matches: the service %q receives no flows", t.Service)
@@ -90,8 +86,12 @@
 	}
 }
 
-// checkState finds routes that have no server for new flows.
+// checkState finds routes that have no server for new flows. It also reports that the version in force is unknown.
 func (c *checker) checkState() {
+	if fault := c.State.ConfigurationFault; fault != "" {
+		c.addWarning("version", c.Document.Version,
+			"cannot be compared: entry VMs refuse the configuration in the store and use an earlier one: %s", fault)
+	}
 	evacuated := map[string]bool{}
 	for _, zone := range c.State.EvacuatedZones {
 		evacuated[zone] = true
