Quote control characters in the report of a check

Cause: names and values of a configuration went to the terminal as they are, so that a tab, a line end or an escape sequence in a name changed other lines of the report. Change: a cell with characters that are not printable is quoted. Measured: a new test with a line end, a tab and an escape sequence in a name; the report keeps its three lines.

--- a/cmd/masticsparctl/configuration.go
+++ b/cmd/masticsparctl/configuration.go
@@ -6,8 +6,10 @@
 	"io"
 	"net/netip"
 	"os"
+	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/juju/errors"
 	"github.com/masticspar/masticspar/internal/configcheck"
@@ -142,7 +144,7 @@
 	if len(r.Findings) > 0 {
 		rows := [][]any{{"SEVERITY", "FIELD", "VALUE", "FINDING"}}
 		for _, f := range r.Findings {
-			rows = append(rows, []any{f.Severity, orDash(f.Path), orDash(f.Value), f.Text})
+			rows = append(rows, []any{f.Severity, orDash(f.Path), printable(f.Value), printable(f.Text)})
 		}
 		writeTable(w, rows)
 	}
@@ -154,8 +156,17 @@
 		_, _ = fmt.Fprintf(w, "\ndifferences from version %d:\n", r.InForce)
 		rows := [][]any{{"KIND", "NAME", "CHANGE", "FROM", "TO", "OPEN FLOWS"}}
 		for _, d := range r.Differences {
-			rows = append(rows, []any{d.Kind, d.Name, d.Change, orDash(d.From), orDash(d.To), d.Effect})
+			rows = append(rows, []any{d.Kind, printable(d.Name), d.Change, printable(d.From), printable(d.To), d.Effect})
 		}
 		writeTable(w, rows)
 	}
 }
+
+// printable returns text for a cell of a table. Names in a configuration may hold line ends and control sequences of
+// terminals, which would change other lines of the table.
+func printable(s string) string {
+	if strings.ContainsFunc(s, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return strconv.Quote(s)
+	}
+	return orDash(s)
+}
--- a/cmd/masticsparctl/configuration_test.go
+++ b/cmd/masticsparctl/configuration_test.go
@@ -95,3 +95,12 @@
 	is.Equal(r.InForce, uint64(2))
 	is.Equal(len(r.Differences), 3) // The route and the service are new, and others are no longer used.
 }
+
+// Guards against names in a configuration that change other lines of the report or the state of the terminal.
+func TestCheckConfigurationQuotesControlCharacters(t *testing.T) {
+	is := is.New(t)
+	text := strings.Replace(validConfiguration, `[{"name":"main"}`, `[{"name":"main"},{"name":"x\ny\t\u001b[2J"}`, 1)
+	_, out, _ := execute("check", "--configuration", writeFile(t, text))
+	is.True(strings.Contains(out, `"x\ny\t\x1b[2J"`))
+	is.Equal(strings.Count(out, "\n"), 3)
+}
