Compare cold limits by the rule of the registry

Cause: the difference of two configurations had its own copy of the rule which of two cold limits of a service counts, and no test noticed when it was reversed. Change: registry.Configuration.ColdLimit decides.

--- a/internal/configcheck/difference.go
+++ b/internal/configcheck/difference.go
@@ -150,10 +150,7 @@
 func limitsOf(c *registry.Configuration) map[string]registry.ColdLimit {
 	limits := make(map[string]registry.ColdLimit, len(c.Services))
 	for _, name := range c.Services {
-		limits[name] = registry.ColdLimit{}
-	}
-	for _, l := range slices.Backward(c.ColdLimits) { // The first one counts.
-		limits[l.Service] = l
+		limits[name] = c.ColdLimit(name)
 	}
 	return limits
 }
