soak: put the servers into zones of their own

Cause: since the servers of each service were in both zones of the daemons, daemons used those of their own zone almost only (another zone costs 80 ms more, a request takes 15 ms). A server that a daemon of the other zone kept although it leaves, or a zone that it used although it is evacuated, was not noticed. Before the evacuations all servers of a service were in one zone and cost the same. Change: the servers are in two zones without daemons, so that all servers of a service cost each daemon the same again. A zone that was taken back must get flows also if no daemon is in it.

--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -314,7 +314,7 @@
 
 // evacuateZone evacuates a zone and takes it back after evacuationTime. Only one zone is evacuated at a time.
 func (s *site) evacuateZone(random *rand.Rand, _ time.Duration) func() {
-	zone := zoneOf(random.IntN(zones))
+	zone := serverZone(random.IntN(zones))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.evacuated != "" {
@@ -344,7 +344,7 @@
 // writeEvacuations writes the key of the evacuated zone and removes those of the others. s.mu must be locked.
 func (s *site) writeEvacuations() {
 	for i := range zones {
-		if key := wire.EvacuationKey(zoneOf(i)); s.evacuated == zoneOf(i) {
+		if key := wire.EvacuationKey(serverZone(i)); s.evacuated == serverZone(i) {
 			s.store.Put(key, emptyMap)
 		} else {
 			s.store.Delete(key)
@@ -378,15 +378,14 @@
 	return false
 }
 
-// returnedZones returns the zones that were taken back and have settled servers as well as daemons.
+// returnedZones returns the zones that were taken back and have settled servers.
 func (s *site) returnedZones() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []string
 	for zone := range s.returnedAt {
-		hasDaemon := slices.ContainsFunc(s.daemons, func(d *daemon) bool { return d.zone == zone })
 		for _, v := range s.servers {
-			if hasDaemon && v.AvailabilityZone == zone && !v.ending &&
+			if v.AvailabilityZone == zone && !v.ending &&
 				time.Since(time.UnixMilli(v.Started)) > quietTime {
 				list = append(list, zone)
 				break
--- a/cmd/soak/site.go
+++ b/cmd/soak/site.go
@@ -160,18 +160,24 @@
 	}, nil
 }
 
-// zones is the number of availability zones.
+// zones is the number of availability zones of the daemons, and that of the servers.
 const zones = 2
 
 // emptyMap is an empty map in CBOR, the value of an evacuation.
 var emptyMap = []byte{0xa0}
 
+// zoneOf returns the zone of a daemon.
 func zoneOf(i int) string { return fmt.Sprint("zone-", i%zones) }
 
+// serverZone returns the name of a zone of servers. There are no daemons in it. Daemons prefer servers of their own
+// zone, so that they would hardly use the others, and the checks of a server that leaves or fails would hold for half
+// of the daemons only.
+func serverZone(i int) string { return fmt.Sprint("zone-", zones+i%zones) }
+
 // zoneOfServer returns the zone of the servers at an address. Each service starts with servers in all zones if there
 // are enough of them.
 func zoneOfServer(address netip.Addr) string {
-	return zoneOf((int(address.As4()[3]) - 1) / len(services))
+	return serverZone((int(address.As4()[3]) - 1) / len(services))
 }
 
 // addServer starts a server with a new name and adds it to the registry.
