Detect the overload of a service and spread its new flows

During an overload, means over what one entry VM saw are too slow, and entry VMs that know the same all choose the same server.

Placement detects an overload from late requests, marks the observed servers for load reports, and chooses servers at random, weighted by the cost from own and shared recent response times. A part of the servers is kept for urgent routes. Retries stay at the service of a split route. Events carry the priority and the target latency of their route.

--- a/internal/conntrack/table.go
+++ b/internal/conntrack/table.go
@@ -66,16 +66,27 @@
 	nextSequence uint32 // sequence number after the last byte of data
 	acknowledged uint32
 	repeats      int // retransmissions of the outstanding request
+	class        Class
 	outstanding  bool
 	closed       bool
 }
 
+// Class holds the properties of a flow's route that its events carry.
+type Class struct {
+	// Priority is the priority of the route; 0 is the highest.
+	Priority int32
+	// TargetLatency is the response time that callers of the route expect.
+	TargetLatency time.Duration
+}
+
 // Table tracks the flows whose packets reach this entry VM. The zero value is ready for use.
 type Table struct {
 	// Capacity is the maximum number of flows; 0 selects DefaultCapacity.
 	Capacity int
 	// Observe is called with each event, whose Host is the token of the server; it may be nil.
 	Observe func(now time.Duration, e flowevent.Event)
+	// Classify returns the class of the flows to an address. It is called once for each flow; it may be nil.
+	Classify func(service netip.AddrPort) Class
 
 	flows map[Key]*Flow
 }
@@ -111,12 +122,12 @@
 		f.seenAt, f.SYNSent = now, now
 		return f
 	default:
-		t.emit(now, flowevent.Unanswered, f.Host, now-f.openedAt)
-		t.emit(now, flowevent.Closed, f.Host, 0)
+		t.emit(now, f, flowevent.Unanswered, now-f.openedAt)
+		t.emit(now, f, flowevent.Closed, 0)
 		f.Tried = append(f.Tried, f.Host)
 	}
 	f.Host, f.openedAt, f.SYNSent, f.seenAt = host, now, now, now
-	t.emit(now, flowevent.Opened, host, 0)
+	t.emit(now, f, flowevent.Opened, 0)
 	return f
 }
 
@@ -135,7 +146,7 @@
 	}
 	f.seenAt = now
 	if !f.Open {
-		t.emit(now, flowevent.Accepted, host, now-f.openedAt)
+		t.emit(now, f, flowevent.Accepted, now-f.openedAt)
 		f.Open, f.nextSequence, f.acknowledged = true, p.Sequence, p.Acknowledged
 	}
 	retransmitted = t.handleData(now, f, p)
@@ -149,7 +160,7 @@
 func (t *Table) join(now time.Duration, f *Flow, p *Packet, host uint32) {
 	f.Host, f.closed, f.Open = host, false, true
 	f.nextSequence, f.acknowledged = p.Sequence, p.Acknowledged
-	t.emit(now, flowevent.Joined, host, 0)
+	t.emit(now, f, flowevent.Joined, 0)
 }
 
 func (t *Table) handleData(now time.Duration, f *Flow, p *Packet) (retransmitted bool) {
@@ -165,17 +176,17 @@
 		if fresh { // The acknowledgement was sent with the next request, so the response time is unknown.
 			elapsed = 0
 		}
-		t.emitEvent(now, flowevent.Event{Kind: flowevent.Answered, Host: f.Host, Elapsed: elapsed, Repeats: f.repeats})
+		t.emitEvent(now, f, flowevent.Event{Kind: flowevent.Answered, Elapsed: elapsed, Repeats: f.repeats})
 	}
 	switch {
 	case fresh:
 		f.nextSequence, f.requestedAt, f.dataAt, f.repeats = end, now, now, 0
 		if !f.outstanding && !f.closed {
 			f.outstanding = true
-			t.emit(now, flowevent.Requested, f.Host, 0)
+			t.emit(now, f, flowevent.Requested, 0)
 		}
 	case p.Length > 0 && now-f.dataAt >= retransmitDelay: // Earlier ones were reordered.
-		t.emit(now, flowevent.Repeated, f.Host, now-f.dataAt)
+		t.emit(now, f, flowevent.Repeated, now-f.dataAt)
 		f.dataAt = now
 		f.repeats++
 		return true
@@ -196,7 +207,7 @@
 	for k, f := range t.flows {
 		if f.outstanding && now-f.seenAt >= requestTimeout {
 			f.outstanding = false
-			t.emit(now, flowevent.Abandoned, f.Host, now-f.requestedAt)
+			t.emit(now, f, flowevent.Abandoned, now-f.requestedAt)
 		}
 		if now-f.seenAt >= f.timeout() {
 			t.closeFlow(now, f)
@@ -228,6 +239,9 @@
 		t.flows = map[Key]*Flow{}
 	}
 	f := &Flow{}
+	if t.Classify != nil {
+		f.class = t.Classify(k.Service)
+	}
 	t.flows[k] = f
 	return f
 }
@@ -242,21 +256,22 @@
 		if len(f.Tried) > 0 || f.SYNSent > f.openedAt {
 			kind = flowevent.Unanswered
 		}
-		t.emit(now, kind, f.Host, now-f.openedAt)
+		t.emit(now, f, kind, now-f.openedAt)
 	}
 	if f.outstanding {
 		f.outstanding = false
-		t.emit(now, flowevent.Abandoned, f.Host, now-f.requestedAt)
+		t.emit(now, f, flowevent.Abandoned, now-f.requestedAt)
 	}
-	t.emit(now, flowevent.Closed, f.Host, 0)
+	t.emit(now, f, flowevent.Closed, 0)
 }
 
-func (t *Table) emit(now time.Duration, kind flowevent.Kind, host uint32, elapsed time.Duration) {
-	t.emitEvent(now, flowevent.Event{Kind: kind, Host: host, Elapsed: elapsed})
+func (t *Table) emit(now time.Duration, f *Flow, kind flowevent.Kind, elapsed time.Duration) {
+	t.emitEvent(now, f, flowevent.Event{Kind: kind, Elapsed: elapsed})
 }
 
-func (t *Table) emitEvent(now time.Duration, e flowevent.Event) {
+func (t *Table) emitEvent(now time.Duration, f *Flow, e flowevent.Event) {
 	if t.Observe != nil {
+		e.Host, e.Priority, e.TargetLatency = f.Host, int(f.class.Priority), f.class.TargetLatency
 		t.Observe(now, e)
 	}
 }
--- a/internal/dsr/engine.go
+++ b/internal/dsr/engine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,9 @@
 	attemptRetention = time.Second
 	// maxAttempts is the maximum number of attempts that are kept for each caller.
 	maxAttempts = 8
+	// retryDelay is the time after a late response within which a new flow of its caller is another attempt of the same
+	// request. Callers make it within milliseconds.
+	retryDelay = 20 * time.Millisecond
 )
 
 // Action is what the entry VM does with a packet.
@@ -71,7 +75,9 @@
 	// Flows tracks the flows and reports their events to Placement.
 	Flows conntrack.Table
 
-	attempts map[netip.Addr][]attempt // by caller address, oldest first
+	attempts map[netip.Addr][]attempt    // by caller address, oldest first
+	late     map[netip.Addr]lateResponse // last late response, by caller address
+	caller   netip.Addr                  // caller of the packet that is handled
 	path     path
 }
 
@@ -91,11 +97,20 @@
 	e.Flows.Observe = func(now time.Duration, ev flowevent.Event) {
 		e.path.observe(now, ev)
 		e.Placement.Observe(now, ev)
+		e.recordLateResponse(now, ev)
+	}
+	e.Flows.Classify = func(service netip.AddrPort) conntrack.Class {
+		r := e.Registry.Route(service)
+		if r == nil {
+			return conntrack.Class{}
+		}
+		return conntrack.Class{Priority: int32(r.Priority), TargetLatency: r.TargetLatency}
 	}
 }
 
 // HandlePacket returns the decision about a packet from a caller.
 func (e *Engine) HandlePacket(now time.Duration, p *conntrack.Packet) Verdict {
+	e.caller = p.Caller.Addr()
 	if p.SYN {
 		return e.handleSYN(now, p)
 	}
@@ -147,6 +162,9 @@
 		tried = append(append(tried, f.Tried...), f.Host)
 	}
 	service := targetService(r, hash)
+	if f == nil {
+		service, tried = e.retriedService(now, p, r, service, tried)
+	}
 	choice := e.Placement.Pick(now, e.Registry.Hosts(service),
 		placement.Flow{Hash: hash, TargetLatency: r.TargetLatency, Priority: r.Priority, Tried: tried})
 	if choice.Host == nil {
@@ -191,13 +209,64 @@
 	e.attempts[p.Caller.Addr()] = append(list, attempt{key: p.Key, host: host, at: now})
 }
 
-// expireAttempts removes the callers whose last attempt is older than attemptRetention.
+// lateResponse is a response that took longer than half of the target latency.
+type lateResponse struct {
+	host uint32 // token of the server
+	at   time.Duration
+}
+
+func (e *Engine) recordLateResponse(now time.Duration, ev flowevent.Event) {
+	if ev.Kind != flowevent.Answered || ev.TargetLatency == 0 || ev.Elapsed <= ev.TargetLatency/2 {
+		return
+	}
+	if e.late == nil {
+		e.late = map[netip.Addr]lateResponse{}
+	}
+	e.late[e.caller] = lateResponse{ev.Host, now}
+}
+
+// retriedService returns the service of a new flow, and the servers that it avoids. A caller whose request was refused by
+// a server with a full queue makes another attempt immediately. While that server's service is overloaded, the attempt
+// avoids the server and stays at the service, because the other services of a split route would otherwise receive
+// retries in addition to their share.
+func (e *Engine) retriedService(
+	now time.Duration, p *conntrack.Packet, r *registry.Route, service string, tried []uint32,
+) (string, []uint32) {
+	caller := p.Caller.Addr()
+	if late, ok := e.late[caller]; ok {
+		delete(e.late, caller)
+		if now-late.at < retryDelay {
+			e.Placement.Observe(now, flowevent.Event{
+				Kind: flowevent.Retried, Host: late.host, Priority: r.Priority, TargetLatency: r.TargetLatency,
+			})
+			if l := e.Registry.Lifetime(late.host); l != nil && e.Placement.Overloaded(l.Service) {
+				tried = append(tried, late.host)
+			}
+		}
+	}
+	if len(r.Targets) == 1 || len(tried) == 0 {
+		return service, tried
+	}
+	l := e.Registry.Lifetime(tried[len(tried)-1])
+	if l != nil && e.Placement.Overloaded(l.Service) &&
+		slices.ContainsFunc(r.Targets, func(t registry.Target) bool { return t.Service == l.Service }) {
+		return l.Service, tried
+	}
+	return service, tried
+}
+
+// expireAttempts removes the callers whose last attempt or late response is no longer evidence.
 func (e *Engine) expireAttempts(now time.Duration) {
 	for caller, list := range e.attempts {
 		if now-list[len(list)-1].at >= attemptRetention {
 			delete(e.attempts, caller)
 		}
 	}
+	for caller, r := range e.late {
+		if now-r.at >= retryDelay {
+			delete(e.late, caller)
+		}
+	}
 }
 
 // Tick expires entries of the registry, the flow table and the attempts. It is called every TickPeriod.
@@ -205,6 +274,7 @@
 	e.Registry.Sweep(now)
 	e.Flows.Sweep(now)
 	e.expireAttempts(now)
+	e.Placement.Tick(now)
 }
 
 // targetService returns the service of a flow. All entry VMs choose the same service for the same flow.
--- a/internal/flowevent/event.go
+++ b/internal/flowevent/event.go
@@ -11,7 +11,7 @@
 //
 // Package conntrack receives only the packets of callers. It infers Accepted from the first packet after the SYN,
 // Refused from a SYN without a retransmission, and Answered from an acknowledgement that advances. Only conntrack
-// creates Joined and Repeated.
+// creates Joined and Repeated. Package dsr creates Retried, which may follow the end of the flow.
 const (
 	Opened     Kind = iota + 1 // The flow was pinned to the host.
 	Accepted                   // The SYN-ACK was received; Elapsed is the handshake time.
@@ -23,6 +23,7 @@
 	Closed                     // The flow is no longer counted as open on the host.
 	Joined                     // The flow was taken over from another entry VM after its handshake.
 	Repeated                   // The caller retransmitted data; Elapsed is the time since the last transmission.
+	Retried                    // The caller made another attempt right after a late response: the host refused its request.
 )
 
 // Event is one event of a flow.
@@ -36,6 +37,9 @@
 	Elapsed time.Duration
 	// Repeats is the number of retransmissions of the request that an Answered event of package conntrack ends.
 	Repeats int
+	// Priority and TargetLatency are those of the flow's route; only package conntrack sets them.
+	Priority      int
+	TargetLatency time.Duration
 	// Reset reports whether Abandoned was caused by a reset from the host. Package conntrack never sets it.
 	Reset bool
 }
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -8,6 +8,7 @@
 
 // load is the observed state of one server.
 type load struct {
+	recentLoad
 	zone            *zone           // nil before the first Pick
 	pending         []time.Duration // start times of handshakes in progress
 	outstanding     int
--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -48,8 +48,14 @@
 	SuspicionChanged func(now time.Duration, token uint32, suspected bool)
 	// Shared returns what other entry VMs observed of a server, and false if nothing recent is known; it may be nil.
 	Shared func(now time.Duration, token uint32) (Shared, bool)
+	// MarkLoaded is called when the observations of a server become worth reporting to other entry VMs and when they no
+	// longer are; it may be nil.
+	MarkLoaded func(now time.Duration, token uint32, loaded bool)
+	// OverloadChanged is called when the overload of a service starts or ends; it may be nil.
+	OverloadChanged func(now time.Duration, service string, overloaded bool, e Evidence)
 
 	loads            map[uint32]*load
+	services         map[string]*service
 	zones            map[string]*zone
 	averageResponse  time.Duration // average response time of all servers; 0 before the first response
 	averageHandshake time.Duration // average time of a handshake; 0 before the first one
@@ -89,12 +95,15 @@
 	Expected time.Duration
 	// Known reports whether Expected rests on recent observations of this server by any entry VM.
 	Known bool
+	// Overloaded reports whether the service of the server is overloaded.
+	Overloaded bool
 }
 
 // Observe updates the state of the server that the event names by its token.
 func (m *Model) Observe(now time.Duration, e flowevent.Event) {
 	l := m.load(now, e.Host)
 	l.updateMean(now)
+	m.observeRecent(now, e, l)
 	switch e.Kind {
 	case flowevent.Opened:
 		l.open++
@@ -132,19 +141,56 @@
 }
 
 // Forget removes the state of a lifetime whose token is no longer in use.
-func (m *Model) Forget(token uint32) { delete(m.loads, token) }
+func (m *Model) Forget(token uint32) {
+	if l := m.loads[token]; l != nil {
+		l.unlist()
+	}
+	delete(m.loads, token)
+}
 
-// Pick returns the server of hosts with the lowest cost for a new flow. A flow to a suspected server is counted as a
-// trial flow.
+// Pick returns a server of hosts, which belong to one service, for a new flow: the one with the lowest cost, or, while
+// the service is overloaded, a random one of those with low costs. A flow to a suspected server is counted as a trial
+// flow.
 func (m *Model) Pick(now time.Duration, hosts []*registry.Lifetime, f Flow) Choice {
 	unreachable := m.unreachableZones(now, hosts)
+	if len(hosts) == 0 {
+		return Choice{Reason: ReasonNoHost}
+	}
+	s := m.listed(now, hosts[0]).group.service
+	s.target = f.TargetLatency
+	m.evaluate(now, s)
+	var best *registry.Lifetime
+	if s.overloaded {
+		best = m.spread(now, hosts, &f, unreachable)
+	} else {
+		best = m.cheapest(now, hosts, f, unreachable)
+	}
+	l := m.loads[best.Token]
+	if l.suspected() {
+		l.trialAt, l.zone.trialAt = now, now
+		l.trials++
+	}
+	if s.overloaded {
+		t := l.expectedOverloaded(now)
+		return Choice{
+			Host: best, Expected: time.Duration(t * l.keptFactor(&f, t)), Overloaded: true,
+			Known: l.ownWeight+l.shared.Samples >= minKnownSamples || len(l.waiting) > 0,
+		}
+	}
+	return Choice{
+		Host: best, Expected: m.expectedResponse(now, l),
+		Known: l.responseTime > 0 && now-l.respondedAt < knownPeriod,
+	}
+}
+
+// cheapest returns the server with the lowest cost.
+func (m *Model) cheapest(
+	now time.Duration, hosts []*registry.Lifetime, f Flow, unreachable map[string]bool,
+) *registry.Lifetime {
 	var best *registry.Lifetime
 	lowest := math.Inf(1)
 	for _, h := range hosts {
-		l := m.load(now, h.Token)
-		if l.zone == nil {
-			l.zone = m.zone(h.AvailabilityZone)
-		}
+		l := m.listed(now, h)
 		cost := m.cost(now, h, l, f)
 		// An unreachable zone is avoided for trialInterval after its last trial flow, and by flows that were already
 		// delayed by another server.
@@ -158,18 +204,7 @@
 			best, lowest = h, cost
 		}
 	}
-	if best == nil {
-		return Choice{Reason: ReasonNoHost}
-	}
-	if l := m.loads[best.Token]; l.suspected() {
-		l.trialAt, l.zone.trialAt = now, now
-		l.trials++
-	}
-	l := m.loads[best.Token]
-	return Choice{
-		Host: best, Expected: m.expectedResponse(now, l),
-		Known: l.responseTime > 0 && now-l.respondedAt < knownPeriod,
-	}
+	return best
 }
 
 // unusableCost is added to the cost of a server that is chosen only if there is no better one, in nanoseconds.
