Weight the spread of an overloaded service by knowledge

Entry VMs without load reports know different things and need no strong randomization; those with reports choose the same servers otherwise. The part for urgent routes is ordered by token and speed, so that it stays stable. Shared estimates that own responses contradict lose their weight.

--- a/internal/dsr/engine.go
+++ b/internal/dsr/engine.go
@@ -163,8 +163,9 @@
 	}
 	service := targetService(r, hash)
 	if f == nil {
-		service, tried = e.retriedService(now, p, r, service, tried)
+		tried = e.observeRetry(now, p, r, tried)
 	}
+	service = e.retriedService(r, service, tried)
 	choice := e.Placement.Pick(now, e.Registry.Hosts(service),
 		placement.Flow{Hash: hash, TargetLatency: r.TargetLatency, Priority: r.Priority, Tried: tried})
 	if choice.Host == nil {
@@ -225,34 +226,40 @@
 	e.late[e.caller] = lateResponse{ev.Host, now}
 }
 
-// retriedService returns the service of a new flow, and the servers that it avoids. A caller whose request was refused by
-// a server with a full queue makes another attempt immediately. While that server's service is overloaded, the attempt
-// avoids the server and stays at the service, because the other services of a split route would otherwise receive
-// retries in addition to their share.
-func (e *Engine) retriedService(
-	now time.Duration, p *conntrack.Packet, r *registry.Route, service string, tried []uint32,
-) (string, []uint32) {
+// observeRetry observes that a server with a full queue has refused a request if the caller of a new flow makes another
+// attempt of it. While the server's service is overloaded, it is added to the servers that the flow avoids.
+func (e *Engine) observeRetry(now time.Duration, p *conntrack.Packet, r *registry.Route, tried []uint32) []uint32 {
 	caller := p.Caller.Addr()
-	if late, ok := e.late[caller]; ok {
-		delete(e.late, caller)
-		if now-late.at < retryDelay {
-			e.Placement.Observe(now, flowevent.Event{
-				Kind: flowevent.Retried, Host: late.host, Priority: r.Priority, TargetLatency: r.TargetLatency,
-			})
-			if l := e.Registry.Lifetime(late.host); l != nil && e.Placement.Overloaded(l.Service) {
-				tried = append(tried, late.host)
-			}
-		}
+	late, ok := e.late[caller]
+	if !ok {
+		return tried
+	}
+	delete(e.late, caller)
+	if now-late.at >= retryDelay {
+		return tried
 	}
+	e.Placement.Observe(now, flowevent.Event{
+		Kind: flowevent.Retried, Host: late.host, Priority: r.Priority, TargetLatency: r.TargetLatency,
+	})
+	if l := e.Registry.Lifetime(late.host); l != nil && e.Placement.Overloaded(l.Service) {
+		tried = append(tried, late.host)
+	}
+	return tried
+}
+
+// retriedService returns the service of a flow. While the service of the last server that the caller has tried is
+// overloaded, the flow stays at that service, because the other services of a split route would otherwise receive
+// retries in addition to their share.
+func (e *Engine) retriedService(r *registry.Route, service string, tried []uint32) string {
 	if len(r.Targets) == 1 || len(tried) == 0 {
-		return service, tried
+		return service
 	}
 	l := e.Registry.Lifetime(tried[len(tried)-1])
 	if l != nil && e.Placement.Overloaded(l.Service) &&
 		slices.ContainsFunc(r.Targets, func(t registry.Target) bool { return t.Service == l.Service }) {
-		return l.Service, tried
+		return l.Service
 	}
-	return service, tried
+	return service
 }
 
 // expireAttempts removes the callers whose last attempt or late response is no longer evidence.
--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -174,7 +174,7 @@
 		t := l.expectedOverloaded(now)
 		return Choice{
 			Host: best, Expected: time.Duration(t * l.keptFactor(&f, t)), Overloaded: true,
-			Known: l.ownWeight+l.shared.Samples >= minKnownSamples || len(l.waiting) > 0,
+			Known: l.known() || len(l.waiting) > 0,
 		}
 	}
 	return Choice{
--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -28,6 +28,11 @@
 	// maxSharedRequests bounds the requests that the report of one server counts for, so that wrong reports of a few
 	// servers do not outweigh own observations.
 	maxSharedRequests = 2
+	// comparedSamples is the number of recent own responses with which shared estimates are compared. Their weight falls
+	// from 1 to 0 between minDoubt and maxDoubt, which are factors of 3.3 and 6.
+	comparedSamples = 4
+	minDoubt        = 1.2
+	maxDoubt        = 1.8
 	// maxWaiting bounds the requests of a server whose start times are kept.
 	maxWaiting = 32
 )
@@ -43,6 +48,8 @@
 	lateAt       time.Duration // time of the last evaluation in an overload that found recoveredShare or more
 	responseTime float64       // mean over recent responses of all servers, in nanoseconds; 0 if there is none
 	demand       demand
+	informed     bool    // whether most recent responses are from load reports
+	doubt        float64 // mean difference between the logarithms of own and shared response times
 }
 
 // group is the state of the servers of a service in one availability zone.
@@ -150,6 +157,7 @@
 		s.demand.record(e.Priority)
 	case flowevent.Answered:
 		if e.Elapsed > 0 {
+			s.compare(e.Elapsed, l.shared)
 			l.ownTime = (l.ownWeight*l.ownTime + float64(e.Elapsed)) / (l.ownWeight + 1)
 			l.ownWeight++
 			s.record(now, l, e.Repeats > 0 || float64(e.Elapsed) > lateShare*float64(target))
@@ -185,6 +193,22 @@
 	}
 }
 
+// compare updates the difference between own and shared response times.
+func (s *service) compare(elapsed time.Duration, shared Shared) {
+	if shared.ResponseTime > 0 {
+		difference := math.Abs(math.Log(float64(elapsed) / float64(shared.ResponseTime)))
+		s.doubt += (difference - s.doubt) / comparedSamples
+	}
+}
+
+// correct reduces the weight of a shared estimate if own observations disagree with such estimates.
+func (s *service) correct(shared *Shared) {
+	trust := min(1, max(0, (maxDoubt-s.doubt)/(maxDoubt-minDoubt)))
+	shared.Samples *= trust
+	shared.Outstanding *= trust
+	shared.Failures *= trust
+}
+
 // Tick evaluates the load of all services. It is called about every 100 ms; Pick evaluates its own service if it is not.
 func (m *Model) Tick(now time.Duration) {
 	for _, s := range m.services {
@@ -208,7 +232,7 @@
 	s.demand.decay(periods)
 	decay := math.Pow(recentDecay, periods)
 	var e Evidence
-	sum, weight := 0.0, 0.0
+	sum, weight, sharedWeight := 0.0, 0.0, 0.0
 	for _, g := range s.groups {
 		g.sum, g.weight = 0, 0
 		for _, l := range g.members {
@@ -216,14 +240,17 @@
 			l.shared = Shared{}
 			if m.Shared != nil {
 				l.shared, _ = m.Shared(now, l.token)
+				s.correct(&l.shared)
 			}
 			e.add(now, l, lateShare*float64(s.target))
 			g.sum += l.ownWeight*l.ownTime + l.shared.Samples*float64(l.shared.ResponseTime)
+			sharedWeight += l.shared.Samples
 			g.weight += l.ownWeight + l.shared.Samples
 		}
 		sum += g.sum
 		weight += g.weight
 	}
+	s.informed = sharedWeight > weight/2
 	if weight > 0 {
 		s.responseTime = sum / weight
 	} else if s.responseTime == 0 {
--- a/internal/placement/part.go
+++ b/internal/placement/part.go
@@ -12,17 +12,17 @@
 	// demandDecay is the factor by which the counts of requests decrease in an evaluation period: a mean over about
 	// 10 s, so that a peak of other routes does not reduce the part at once.
 	demandDecay = 0.99
-	// partFactor is the capacity that is kept, relative to the share of urgent requests in the demand. Queues of
+	// partFactor is the share of the servers that is kept, relative to the share of urgent requests in the demand. Queues of
 	// servers with a utilization of half are short.
 	partFactor = 2
-	// maxPart is the greatest share of the capacity that is kept.
+	// maxPart is the greatest share of the servers that is kept.
 	maxPart = 0.6
 	// maxUrgentShare is the share of urgent requests from which keeping servers has no effect.
 	maxUrgentShare = 0.9
 	// minUrgentRequests is the decayed number of urgent requests below which no servers are kept.
 	minUrgentRequests = 0.5
 	// keptPreference makes the servers of the part remain in it while others are only slightly faster.
-	keptPreference = 0.8
+	keptPreference = 0.3
 )
 
 // demand counts requests by urgency, decayed by age.
@@ -43,7 +43,7 @@
 	d.urgent *= old
 }
 
-// part returns the share of the capacity to keep for urgent routes.
+// part returns the share of the servers to keep for urgent routes.
 func (d *demand) part() float64 {
 	share := d.urgent / max(d.all, 1)
 	if d.urgent < minUrgentRequests || share > maxUrgentShare {
@@ -58,36 +58,33 @@
 }
 
 type rank struct {
-	key, capacity float64
-	l             *load
+	key float64
+	l   *load
 }
 
-// choosePart keeps the fastest servers of each availability zone for urgent routes. Servers of similar speed are ordered
-// by their tokens, so that entry VMs choose nearly the same ones.
+// choosePart keeps fast servers of each availability zone for urgent routes. Servers are ordered by their tokens, and by
+// the cube root of their response time, so that entry VMs choose nearly the same ones although they see other responses.
 func (s *service) choosePart() {
 	share := s.demand.part()
 	for _, g := range s.groups {
-		ranks, total := g.part.ranks[:0], 0.0
+		ranks := g.part.ranks[:0]
 		for _, l := range g.members {
 			if s.evaluatedAt-l.listedAt >= overloadWindow {
 				l.kept = false
 				continue
 			}
-			t := l.recentTime()
-			r := rank{key: t * (1 + hashFraction(partSeed, l.token)), capacity: 1 / t, l: l}
+			r := rank{key: math.Cbrt(l.recentTime()) * (1 + hashFraction(partSeed, l.token)), l: l}
 			if l.kept {
 				r.key *= keptPreference
 			}
-			total += r.capacity
 			ranks = append(ranks, r)
 		}
 		if share > 0 {
 			slices.SortFunc(ranks, func(a, b rank) int { return cmp.Compare(a.key, b.key) })
 		}
-		rest := share * total
-		for _, r := range ranks {
-			r.l.kept = rest > 0
-			rest -= r.capacity
+		kept := int(math.Round(share * float64(len(ranks))))
+		for i, r := range ranks {
+			r.l.kept = i < kept
 		}
 		g.part.ranks = ranks
 	}
--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -21,12 +21,12 @@
 	fullTargets = 2.5
 	// keptPenalty is the factor for a server that is kept for more urgent routes, and otherPenalty that for other servers
 	// when an urgent flow is placed.
-	keptPenalty  = 3
-	otherPenalty = 1.5
-	// roomShare is the share of the target latency up to which a kept server has room for other routes.
-	roomShare = 0.25
-	// unusableFactor separates the cost of servers that are used only if there is no better one.
-	unusableFactor = 1e30
+	keptPenalty  = 30
+	otherPenalty = 10
+	// A kept server has room for other routes while its response time is below roomShare of the target latency and fewer
+	// than roomOutstanding requests are known to be outstanding.
+	roomShare       = 0.15
+	roomOutstanding = 0.5
 )
 
 // recentTime returns the expected response time of a server, in nanoseconds, from the recent responses to this and to
@@ -53,16 +53,17 @@
 func (m *Model) costOverloaded(now time.Duration, h *registry.Lifetime, l *load, f *Flow) float64 {
 	t := l.expectedOverloaded(now)
 	target := float64(max(f.TargetLatency, time.Millisecond))
-	outstanding := float64(l.outstanding+len(l.pending)) + l.shared.Outstanding
-	cost := t / target * (1 + outstanding/float64(max(h.Slots, 1))) * (1 + l.shared.Failures)
+	l.updateMean(now)
+	own := float64(l.outstanding+len(l.pending)) + l.meanOutstanding
+	// Response times include the queue, so its length counts less than in proportion.
+	cost := t / target * (1 + own) * math.Sqrt(1+l.shared.Outstanding/float64(max(h.Slots, 1))) * (1 + l.shared.Failures)
 	if now < h.ColdUntil {
 		cost *= coldFactor
 	}
 	if h.AvailabilityZone != m.AvailabilityZone {
 		cost += float64(minCrossZoneCost) / target
-	}
-	if m.handshakeOverdue(now, l) || l.backingOff(now, f) {
-		cost *= unusableFactor
+		// Load reports stay within a zone, so the queues of most servers of other zones are unknown.
+		cost *= 1 + 1/(1+l.ownWeight+l.shared.Samples)
 	}
 	return cost * l.partPenalty(f, t)
 }
@@ -78,33 +79,48 @@
 // keptFactor returns the factor for a flow to a server that is kept for more urgent routes. It is 1 while the server is
 // known to have room, so that the part is given up when urgent routes do not need it.
 func (l *load) keptFactor(f *Flow, t float64) float64 {
-	known := l.ownWeight+l.shared.Samples >= minKnownSamples
-	if !l.kept || f.Priority <= urgentPriority || known && t <= roomShare*float64(f.TargetLatency) {
+	room := l.known() && t <= roomShare*float64(f.TargetLatency) &&
+		float64(l.outstanding)+l.shared.Outstanding < roomOutstanding
+	if !l.kept || f.Priority <= urgentPriority || room {
 		return 1
 	}
 	return keptPenalty
 }
 
+// known reports whether the response time of a server rests on recent responses.
+func (l *load) known() bool { return l.ownWeight+l.shared.Samples >= minKnownSamples }
+
 // spread chooses a server of an overloaded service at random. The probability of a server is inversely proportional to
-// the third power of its cost, so that entry VMs with the same knowledge do not all choose the same server.
+// the third power of its cost, so that entry VMs with the same knowledge do not all choose the same server. Without
+// load reports it is the eighth power, because each entry VM then knows something else.
 func (m *Model) spread(
 	now time.Duration, hosts []*registry.Lifetime, f *Flow, unreachable map[string]bool,
 ) *registry.Lifetime {
 	var best *registry.Lifetime
-	lowest := math.Inf(1)
+	least, lowest := 0, 0.0
+	informed := m.listed(now, hosts[0]).group.service.informed
 	for _, h := range hosts {
 		l := m.listed(now, h)
 		cost := m.costOverloaded(now, h, l, f)
 		// The least of exponential variates belongs to each server with a probability proportional to its rate.
-		key := -math.Log(1-hashFraction(f.Hash, h.Token)) * cost * cost * cost
+		key := -math.Log(1 - hashFraction(f.Hash, h.Token))
+		if squared := cost * cost; informed {
+			key *= squared * cost
+		} else {
+			key *= squared * squared * squared * squared
+		}
+		unusable := 0 // Reasons to use the server only if there is no better one.
+		if m.handshakeOverdue(now, l) || l.backingOff(now, f) {
+			unusable++
+		}
 		if unreachable[h.AvailabilityZone] && (len(f.Tried) > 0 || now-l.zone.trialAt < trialInterval) {
-			key *= unusableFactor
+			unusable++
 		}
 		if slices.Contains(f.Tried, h.Token) {
-			key *= unusableFactor
+			unusable++
 		}
-		if key < lowest || best == nil {
-			best, lowest = h, key
+		if best == nil || unusable < least || unusable == least && key < lowest {
+			best, least, lowest = h, unusable, key
 		}
 	}
 	return best
