--- a/internal/placement/part.go
+++ b/internal/placement/part.go
@@ -62,8 +62,8 @@
 	l   *load
 }
 
-// choosePart keeps fast servers of each availability zone for urgent routes. Servers are ordered by their tokens, and by
-// the cube root of their response time, so that entry VMs choose nearly the same ones although they see other responses.
+// choosePart keeps fast servers of each availability zone for urgent routes. Servers are ordered by their tokens and
+// only large differences in speed, so that entry VMs choose nearly the same ones although they see other responses.
 func (s *service) choosePart() {
 	share := s.demand.part()
 	for _, g := range s.groups {
@@ -73,7 +73,7 @@
 				l.kept = false
 				continue
 			}
-			r := rank{key: math.Cbrt(l.recentTime()) * (1 + hashFraction(partSeed, l.token)), l: l}
+			r := rank{key: speedFactor(l.recentTime()/g.responseTime) * (1 + hashFraction(partSeed, l.token)), l: l}
 			if l.kept {
 				r.key *= keptPreference
 			}
@@ -92,3 +92,12 @@
 
 // partSeed is the hash with which tokens are ordered.
 const partSeed = 0x9e3779b97f4a7c15
+
+// speedFactor returns the factor by which the speed of a server changes its order, from its response time relative to the
+// mean of its group.
+func speedFactor(relative float64) float64 {
+	if relative > 0.4 && relative < 2.5 {
+		return 1
+	}
+	return math.Cbrt(relative)
+}
