--- a/cmd/masticspard/dsr.go
+++ b/cmd/masticspard/dsr.go
@@ -46,16 +46,16 @@
 	resumeAt time.Duration // SYNs are dropped before this time
 
 	stopTimeout time.Duration
-	eventCounts [flowevent.Repeated + 1]metrics.Counter // by kind
+	eventCounts [flowevent.Retried + 1]metrics.Counter // by kind
 }
 
 // eventCounterNames are the names of the counters of flow events, by kind.
-var eventCounterNames = [flowevent.Repeated + 1]string{
+var eventCounterNames = [flowevent.Retried + 1]string{
 	0: "flow-events-unknown", flowevent.Opened: "flows-opened", flowevent.Accepted: "flows-accepted",
 	flowevent.Refused: "flows-refused-by-server", flowevent.Unanswered: "flows-unanswered",
 	flowevent.Requested: "requests-sent", flowevent.Answered: "requests-answered",
 	flowevent.Abandoned: "requests-abandoned", flowevent.Closed: "flows-closed", flowevent.Joined: "flows-joined",
-	flowevent.Repeated: "requests-repeated",
+	flowevent.Repeated: "requests-repeated", flowevent.Retried: "requests-retried",
 }
 
 // newDSRDaemon starts a daemon and returns a function that stops its components in reverse order.
@@ -78,7 +78,7 @@
 	e := &d.engine
 	e.Placement = placement.Model{
 		AvailabilityZone: d.settings.AvailabilityZone, HashOnly: d.settings.Placement == dsrsettings.PlacementHash,
-		SuspicionChanged: d.logSuspicion,
+		SuspicionChanged: d.logSuspicion, OverloadChanged: d.logOverload,
 	}
 	e.Registry.Changed, e.Registry.OnReplaced = d.logHostState, d.logReplaced
 	e.Registry.EvacuationChanged = d.logEvacuation
--- a/cmd/masticspard/dsr_log.go
+++ b/cmd/masticspard/dsr_log.go
@@ -8,6 +8,7 @@
 	"github.com/masticspar/masticspar/internal/conntrack"
 	"github.com/masticspar/masticspar/internal/dsr"
 	"github.com/masticspar/masticspar/internal/history"
+	"github.com/masticspar/masticspar/internal/placement"
 	"github.com/masticspar/masticspar/internal/registry"
 )
 
@@ -61,6 +62,17 @@
 		zap.Int("outstanding", load.Outstanding), zap.Int("repeats", load.Failures))
 }
 
+// logOverload counts and logs the start or the end of the overload of a service, and the evidence.
+func (d *dsrDaemon) logOverload(_ time.Duration, service string, overloaded bool, e placement.Evidence) {
+	event := "overload-ended"
+	if overloaded {
+		event = "overload-started"
+	}
+	d.counters.Add(event, 1)
+	d.log.Info(event, zap.String("service", service), zap.Int("requests", int(e.Requests)), zap.Int("late", int(e.Late)),
+		zap.Int("servers", e.Servers), zap.Int("late-servers", e.LateServers))
+}
+
 // logFlow logs a decision about a flow and the values that it depends on. Under load most lines are omitted before
 // their fields are built.
 func (d *dsrDaemon) logFlow(now time.Duration, event string, p *conntrack.Packet, v dsr.Verdict) {
--- a/internal/dsr/engine.go
+++ b/internal/dsr/engine.go
@@ -238,7 +238,7 @@
 	if now-late.at >= retryDelay {
 		return tried
 	}
-	e.Placement.Observe(now, flowevent.Event{
+	e.Flows.Observe(now, flowevent.Event{
 		Kind: flowevent.Retried, Host: late.host, Priority: r.Priority, TargetLatency: r.TargetLatency,
 	})
 	if l := e.Registry.Lifetime(late.host); l != nil && e.Placement.Overloaded(l.Service) {
--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -76,6 +76,8 @@
 	// Requests is the number of recent requests, Late is how many of them were late, outstanding for too long or
 	// repeated. Both include those in load reports.
 	Requests, Late float64
+	// OwnRequests and OwnLate are those of this entry VM alone.
+	OwnRequests, OwnLate float64
 	// Servers is the number of servers with such requests, and LateServers the number of those with a late one.
 	Servers, LateServers int
 }
@@ -264,10 +266,12 @@
 	}
 	for i := range s.periods {
 		if p := &s.periods[i]; p.number > int64(now/evaluationPeriod)-overloadPeriods {
-			e.Requests += float64(p.requests)
-			e.Late += float64(p.late)
+			e.OwnRequests += float64(p.requests)
+			e.OwnLate += float64(p.late)
 		}
 	}
+	e.Requests += e.OwnRequests
+	e.Late += e.OwnLate
 	m.decide(now, s, e)
 	if s.overloaded {
 		m.mark(now, s)
@@ -283,8 +287,8 @@
 		if float64(now-started) <= late {
 			break
 		}
-		e.Requests++
-		e.Late++
+		e.OwnRequests++
+		e.OwnLate++
 		observed, lateNow = true, true
 	}
 	if n := min(l.shared.Samples+l.shared.Failures, maxSharedRequests); n > 0 {
@@ -306,8 +310,11 @@
 // decide starts or ends the overload of a service.
 func (m *Model) decide(now time.Duration, s *service, e Evidence) {
 	share := e.Late / max(e.Requests, 1)
+	// Wrong reports alone neither start nor sustain an overload at an entry VM that sees enough requests itself.
+	recovered := share < recoveredShare ||
+		e.OwnRequests >= minOverloadRequests && e.OwnLate < recoveredShare*e.OwnRequests
 	switch {
-	case s.overloaded && share >= recoveredShare:
+	case s.overloaded && !recovered:
 		s.lateAt = now
 		return
 	case s.overloaded && now-s.lateAt >= recoveryPeriod:
@@ -318,7 +325,7 @@
 				m.setMarked(now, l, false)
 			}
 		}
-	case !s.overloaded && e.Requests >= minOverloadRequests && share >= overloadShare &&
+	case !s.overloaded && !recovered && e.Requests >= minOverloadRequests && share >= overloadShare &&
 		float64(e.LateServers) >= overloadShare*float64(e.Servers) &&
 		float64(e.LateServers) >= min(minLateServers, overloadShare*float64(s.size())):
 		s.overloaded, s.lateAt = true, now
