--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -8,4 +8,7 @@
 // A server is suspected after the first handshake that it refuses or the first packet that it does not answer. A
 // suspected server receives a trial flow from time to time until it responds. Servers in other availability zones are
 // used when the cost of waiting in the local zone exceeds that of the longer path.
+//
+// While a service is overloaded, a server is chosen at random, weighted by its cost, and a part of the servers is kept
+// for urgent routes. The cost then includes what other entry VMs reported.
 package placement
--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -91,7 +91,8 @@
 	Host *registry.Lifetime
 	// Reason is why there is no server; empty if there is one.
 	Reason string
-	// Expected is the expected response time of the server, with its queue.
+	// Expected is the expected response time of the server, with its queue. It is much longer at a server that is kept for
+	// more urgent routes, because the room there is not room for other routes.
 	Expected time.Duration
 	// Known reports whether Expected rests on recent observations of this server by any entry VM.
 	Known bool
--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -214,7 +214,7 @@
 	shared.Failures *= trust
 }
 
-// Tick evaluates the load of all services. It is called about every 100 ms; Pick evaluates its own service if it is not.
+// Tick evaluates the load of all services. It is called about every 100 ms; otherwise Pick evaluates its own service.
 func (m *Model) Tick(now time.Duration) {
 	for _, s := range m.services {
 		m.evaluate(now, s)
--- a/internal/placement/part.go
+++ b/internal/placement/part.go
@@ -12,8 +12,8 @@
 	// demandDecay is the factor by which the counts of requests decrease in an evaluation period: a mean over about
 	// 10 s, so that a peak of other routes does not reduce the part at once.
 	demandDecay = 0.99
-	// partFactor is the share of the servers that is kept, relative to the share of urgent requests in the demand. Queues of
-	// servers with a utilization of half are short.
+	// partFactor is the share of the servers that is kept, relative to the share of urgent requests in the demand. Servers
+	// with a utilization of half have short queues.
 	partFactor = 2
 	// maxPart is the greatest share of the servers that is kept.
 	maxPart = 0.6
@@ -93,8 +93,8 @@
 // partSeed is the hash with which tokens are ordered.
 const partSeed = 0x9e3779b97f4a7c15
 
-// speedFactor returns the factor by which the speed of a server changes its order, from its response time relative to the
-// mean of its group.
+// speedFactor returns the factor by which the speed of a server changes its order, from its response time relative to
+// the mean of its group.
 func speedFactor(relative float64) float64 {
 	if relative > 0.4 && relative < 2.5 {
 		return 1
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -118,7 +118,8 @@
 			if r.overloaded() {
 				slow = r.slow(i)
 			}
-			cost := float64(n.work) * slow * (float64(n.busy+len(n.waiting))/2 + float64(n.open)/20 + r.random.Float64()/4 + 1)
+			queue := float64(n.busy+len(n.waiting))/2 + float64(n.open)/20 + r.random.Float64()/4
+			cost := float64(n.work) * slow * (1 + queue)
 			if cost < lowest {
 				token, lowest = uint32(i+1), cost
 			}
@@ -337,7 +338,14 @@
 			t.Parallel()
 			old := replays(test.replay, "old", "")
 			for _, p := range [][2]string{
-				{"hash", ""}, {"old", ""}, {"ideal", ""}, {"new", ""}, {"new", "exact"}, {"new", "half"}, {"new", "ten"}, {"new", "mixed"},
+				{"hash", ""},
+				{"old", ""},
+				{"ideal", ""},
+				{"new", ""},
+				{"new", "exact"},
+				{"new", "half"},
+				{"new", "ten"},
+				{"new", "mixed"},
 			} {
 				r := replays(test.replay, p[0], p[1])
 				urgent, feeds := r.share(1, 0, 1, 2), r.share(2, 0, 1, 2)
@@ -372,7 +380,9 @@
 		m := Model{
 			AvailabilityZone: localZone,
 			MarkLoaded:       func(_ time.Duration, token uint32, loaded bool) { marked[token] = loaded },
-			OverloadChanged:  func(_ time.Duration, _ string, overloaded bool, _ Evidence) { changes = append(changes, overloaded) },
+			OverloadChanged: func(_ time.Duration, _ string, overloaded bool, _ Evidence) {
+				changes = append(changes, overloaded)
+			},
 		}
 		hosts := lifetimes(slices.Repeat([]string{localZone}, 20)...)
 		for now := time.Second; now < 13*time.Second; now += 50 * time.Millisecond {
@@ -383,7 +393,8 @@
 			if now%(100*time.Millisecond) == 0 && test.slow > 0 {
 				token = token%test.slow + 1
 			}
-			e := flowevent.Event{Kind: flowevent.Answered, Host: token, Elapsed: 20 * time.Millisecond, TargetLatency: replayTarget}
+			e := flowevent.Event{Kind: flowevent.Answered, Host: token, TargetLatency: replayTarget}
+			e.Elapsed = 20 * time.Millisecond
 			if token <= test.slow && now < 5*time.Second {
 				e.Elapsed = 300 * time.Millisecond
 			}
