dsr: derive urgent routes from the configuration

Cause: placement treated priority 1 and less as urgent, which is the configuration of one customer: with priorities 5 and 9 nothing was kept, and with 1 and 1 all routes counted as urgent. Open flows kept the class of the configuration at their first packet.

Change: a route is urgent if another route with a less urgent priority uses one of its services. The engine computes this once for each configuration and updates the classes of open flows. Flow.Urgent replaces Flow.Priority; events keep Priority for the counters of admission.

--- a/internal/conntrack/table.go
+++ b/internal/conntrack/table.go
@@ -75,6 +75,8 @@
 type Class struct {
 	// Priority is the priority of the route; 0 is the highest.
 	Priority int32
+	// Urgent reports whether a route of less urgent priority uses the same service.
+	Urgent bool
 	// TargetLatency is the response time that callers of the route expect.
 	TargetLatency time.Duration
 }
@@ -85,7 +87,8 @@
 	Capacity int
 	// Observe is called with each event, whose Host is the token of the server; it may be nil.
 	Observe func(now time.Duration, e flowevent.Event)
-	// Classify returns the class of the flows to an address. It is called once for each flow; it may be nil.
+	// Classify returns the class of the flows to an address. It is called once for each flow, and by Reclassify; it may
+	// be nil.
 	Classify func(service netip.AddrPort) Class
 
 	flows map[Key]*Flow
@@ -246,6 +249,13 @@
 	return f
 }
 
+// Reclassify updates the classes of all flows. It is called when the result of Classify may have changed.
+func (t *Table) Reclassify() {
+	for k, f := range t.flows {
+		f.class = t.Classify(k.Service)
+	}
+}
+
 func (t *Table) closeFlow(now time.Duration, f *Flow) {
 	if f.closed {
 		return
@@ -272,6 +282,7 @@
 func (t *Table) emitEvent(now time.Duration, f *Flow, e flowevent.Event) {
 	if t.Observe != nil {
 		e.Host, e.Priority, e.TargetLatency = f.Host, int(f.class.Priority), f.class.TargetLatency
+		e.Urgent = f.class.Urgent
 		t.Observe(now, e)
 	}
 }
--- a/internal/dsr/engine.go
+++ b/internal/dsr/engine.go
@@ -75,9 +75,10 @@
 	// Flows tracks the flows and reports their events to Placement.
 	Flows conntrack.Table
 
-	attempts map[netip.Addr][]attempt    // by caller address, oldest first
-	late     map[netip.Addr]lateResponse // last late response, by caller address
-	caller   netip.Addr                  // caller of the packet that is handled
+	attempts map[netip.Addr][]attempt           // by caller address, oldest first
+	late     map[netip.Addr]lateResponse        // last late response, by caller address
+	caller   netip.Addr                         // caller of the packet that is handled
+	classes  map[netip.AddrPort]conntrack.Class // by address of the route
 	path     path
 }
 
@@ -99,12 +100,10 @@
 		e.Placement.Observe(now, ev)
 		e.recordLateResponse(now, ev)
 	}
-	e.Flows.Classify = func(service netip.AddrPort) conntrack.Class {
-		r := e.Registry.Route(service)
-		if r == nil {
-			return conntrack.Class{}
-		}
-		return conntrack.Class{Priority: int32(r.Priority), TargetLatency: r.TargetLatency}
+	e.Flows.Classify = func(address netip.AddrPort) conntrack.Class { return e.classes[address] }
+	e.Registry.ConfigurationChanged = func() {
+		e.classes = classify(e.Registry.Configuration().Routes)
+		e.Flows.Reclassify()
 	}
 }
 
@@ -167,7 +166,7 @@
 	}
 	service = e.retriedService(r, service, tried)
 	choice := e.Placement.Pick(now, e.Registry.Hosts(service),
-		placement.Flow{Hash: hash, TargetLatency: r.TargetLatency, Priority: r.Priority, Tried: tried})
+		placement.Flow{Hash: hash, TargetLatency: r.TargetLatency, Urgent: e.classes[p.Service].Urgent, Tried: tried})
 	if choice.Host == nil {
 		if e.Registry.HasEvacuatedHosts(service) {
 			choice.Reason = ReasonEvacuated
@@ -239,7 +238,8 @@
 		return tried
 	}
 	e.Flows.Observe(now, flowevent.Event{
-		Kind: flowevent.Retried, Host: late.host, Priority: r.Priority, TargetLatency: r.TargetLatency,
+		Kind: flowevent.Retried, Host: late.host, Priority: r.Priority, Urgent: e.classes[p.Service].Urgent,
+		TargetLatency: r.TargetLatency,
 	})
 	if l := e.Registry.Lifetime(late.host); l != nil && e.Placement.Overloaded(l.Service) {
 		tried = append(tried, late.host)
--- a/internal/flowevent/event.go
+++ b/internal/flowevent/event.go
@@ -37,8 +37,9 @@
 	Elapsed time.Duration
 	// Repeats is the number of retransmissions of the request that an Answered event of package conntrack ends.
 	Repeats int
-	// Priority and TargetLatency are those of the flow's route; only package conntrack sets them.
+	// Priority, Urgent and TargetLatency are those of the flow's route.
 	Priority      int
+	Urgent        bool
 	TargetLatency time.Duration
 	// Reset reports whether Abandoned was caused by a reset from the host. Package conntrack never sets it.
 	Reset bool
--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -67,8 +67,8 @@
 	Hash uint64
 	// TargetLatency is the response time that callers of the route expect.
 	TargetLatency time.Duration
-	// Priority is the priority of the route; 0 is the highest.
-	Priority int
+	// Urgent reports whether a route of less urgent priority uses the same service.
+	Urgent bool
 	// Tried lists the tokens of servers that have not responded to recent SYNs of the caller.
 	Tried []uint32
 }
--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -159,7 +159,7 @@
 	}
 	switch e.Kind {
 	case flowevent.Requested:
-		s.demand.record(e.Priority)
+		s.demand.record(e.Urgent)
 	case flowevent.Answered:
 		if e.Elapsed > 0 {
 			s.compare(e.Elapsed, l.shared)
--- a/internal/placement/part.go
+++ b/internal/placement/part.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// urgentPriority is the least urgent priority of urgent routes.
-	urgentPriority = 1
 	// demandDecay is the factor by which the counts of requests decrease in an evaluation period: a mean over about
 	// 10 s, so that a peak of other routes does not reduce the part at once.
 	demandDecay = 0.99
@@ -30,9 +28,9 @@
 	all, urgent float64
 }
 
-func (d *demand) record(priority int) {
+func (d *demand) record(urgent bool) {
 	d.all++
-	if priority <= urgentPriority {
+	if urgent {
 		d.urgent++
 	}
 }
--- a/internal/placement/reference_test.go
+++ b/internal/placement/reference_test.go
@@ -48,7 +48,7 @@
 			tried = []uint32{uint32(1 + random.IntN(60))}
 		}
 		token := m.Pick(now, hosts, Flow{
-			Hash: random.Uint64(), TargetLatency: target, Priority: 1 + random.IntN(2), Tried: tried,
+			Hash: random.Uint64(), TargetLatency: target, Urgent: random.IntN(2) == 0, Tried: tried,
 		}).Host.Token
 		_, _ = digest.Write(binary.LittleEndian.AppendUint32(nil, token))
 		m.Observe(now, flowevent.Event{Kind: flowevent.Opened, Host: token})
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -108,7 +108,7 @@
 // open opens a flow and returns its entry VM and server.
 func (r *replay) open(zone, priority int, tried []uint32) (vm, server int) {
 	vm = r.random.IntN(entryVMs/3)*3 + zone
-	f := Flow{Hash: r.random.Uint64(), TargetLatency: replayTarget, Priority: priority, Tried: tried}
+	f := Flow{Hash: r.random.Uint64(), TargetLatency: replayTarget, Urgent: priority == 1, Tried: tried}
 	m := r.models[vm]
 	token := uint32(0)
 	if r.policy == "ideal" {
@@ -144,7 +144,7 @@
 // send sends a request on a flow and calls done after the response. A refused request is sent again on a new flow.
 func (r *replay) send(q *request, vm, server int, done func()) {
 	n, token := &r.nodes[server], uint32(server+1)
-	e := flowevent.Event{Kind: flowevent.Requested, Host: token, Priority: q.priority, TargetLatency: replayTarget}
+	e := flowevent.Event{Kind: flowevent.Requested, Host: token, Urgent: q.priority == 1, TargetLatency: replayTarget}
 	r.models[vm].Observe(r.now, e)
 	n.sent[vm]++
 	sent := r.now
@@ -387,7 +387,7 @@
 		hosts := lifetimes(slices.Repeat([]string{localZone}, 20)...)
 		for now := time.Second; now < 13*time.Second; now += 50 * time.Millisecond {
 			m.Tick(now)
-			m.Pick(now, hosts, Flow{TargetLatency: replayTarget, Priority: 2})
+			m.Pick(now, hosts, Flow{TargetLatency: replayTarget})
 			// The flows of slow servers are the busy ones.
 			token := uint32(now/(50*time.Millisecond))%20 + 1
 			if now%(100*time.Millisecond) == 0 && test.slow > 0 {
@@ -421,7 +421,7 @@
 					return Shared{ResponseTime: replayWork, Samples: 1}, overloaded
 				}}
 				hosts := lifetimes(slices.Repeat([]string{localZone, "wa-south", "wa-north"}, servers/3)...)
-				now, f := time.Second, Flow{TargetLatency: replayTarget, Priority: 2}
+				now, f := time.Second, Flow{TargetLatency: replayTarget}
 				m.Pick(now, hosts, f)
 				b.ReportAllocs()
 				for b.Loop() {
--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -70,7 +70,7 @@
 
 // partPenalty returns the factor by which the part for urgent routes changes the cost of a server.
 func (l *load) partPenalty(f *Flow, t float64) float64 {
-	if f.Priority <= urgentPriority && !l.kept && l.group.service.demand.part() > 0 {
+	if f.Urgent && !l.kept && l.group.service.demand.part() > 0 {
 		return otherPenalty
 	}
 	return l.keptFactor(f, t)
@@ -81,7 +81,7 @@
 func (l *load) keptFactor(f *Flow, t float64) float64 {
 	room := l.known() && t <= roomShare*float64(f.TargetLatency) &&
 		float64(l.outstanding)+l.shared.Outstanding < roomOutstanding
-	if !l.kept || f.Priority <= urgentPriority || room {
+	if !l.kept || f.Urgent || room {
 		return 1
 	}
 	return keptPenalty
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -184,6 +184,8 @@
 	OnReplaced func(former, later *Lifetime)
 	// Forgotten is called when a retired lifetime and its token are removed; it may be nil.
 	Forgotten func(token uint32)
+	// ConfigurationChanged is called after a new configuration has come into force; it may be nil.
+	ConfigurationChanged func()
 	// EvacuationChanged is called when the evacuation of an availability zone starts or ends; it may be nil.
 	EvacuationChanged func(now time.Duration, zone string, evacuated bool)
 
@@ -418,6 +420,9 @@
 	for i := range c.Routes {
 		r.routes[c.Routes[i].Address] = &c.Routes[i]
 	}
+	if r.ConfigurationChanged != nil {
+		r.ConfigurationChanged()
+	}
 	return true
 }
 
