placement: fix overload state of new zones, pauses and missing targets

Cause, each shown by a test that failed before: a route without a target latency counted every response as late and was overloaded within 200 ms; a zone whose first server was picked during an overload had the mean response time 0 until the next evaluation, so one server received 1000 of 1000 flows; after 2 s without a new flow at this entry VM, no server was kept for urgent routes. Means also decayed by whole periods only, so that ticks 199 ms apart counted as one period.

Change: no target, no late response; a new group starts with the mean of its service; a server counts as unlisted from its age at the last Pick; decay by fractions of periods.

Result: TestRouteWithoutTargetLatencyIsNeverOverloaded and TestListedServersChangeInOverload pass; the digests of the quiet choices are unchanged.

--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -166,6 +166,7 @@
 	} else {
 		best = m.cheapest(now, hosts, f, unreachable)
 	}
+	s.pickedAt = now
 	l := m.loads[best.Token]
 	if l.suspected() {
 		l.trialAt, l.zone.trialAt = now, now
--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -45,6 +45,7 @@
 	name         string
 	groups       []*group
 	target       time.Duration // target latency of the last flow
+	pickedAt     time.Duration // time of the last Pick
 	evaluatedAt  time.Duration
 	periods      [overloadPeriods]period
 	overloaded   bool
@@ -113,7 +114,7 @@
 			return g
 		}
 	}
-	g := &group{service: s, zone: h.AvailabilityZone}
+	g := &group{service: s, zone: h.AvailabilityZone, responseTime: s.responseTime}
 	s.groups = append(s.groups, g)
 	return g
 }
@@ -165,7 +166,7 @@
 			s.compare(e.Elapsed, l.shared)
 			l.ownTime = (l.ownWeight*l.ownTime + float64(e.Elapsed)) / (l.ownWeight + 1)
 			l.ownWeight++
-			s.record(now, l, e.Repeats > 0 || float64(e.Elapsed) > lateShare*float64(target))
+			s.record(now, l, e.Repeats > 0 || float64(e.Elapsed) > lateAfter(target))
 		}
 	case flowevent.Refused, flowevent.Unanswered:
 		s.record(now, l, true)
@@ -175,6 +176,15 @@
 	}
 }
 
+// lateAfter returns the response time after which a response is late evidence, in nanoseconds. There is none for routes
+// without a target latency.
+func lateAfter(target time.Duration) float64 {
+	if target <= 0 {
+		return math.Inf(1)
+	}
+	return lateShare * float64(target)
+}
+
 // finishWaiting removes the request that started at the given time, or the oldest one if that is unknown.
 func (l *load) finishWaiting(started time.Duration) {
 	if len(l.waiting) == 0 {
@@ -232,11 +242,12 @@
 	if m.HashOnly || now-s.evaluatedAt < evaluationPeriod {
 		return
 	}
-	periods := float64((now - s.evaluatedAt) / evaluationPeriod)
+	periods := float64(now-s.evaluatedAt) / float64(evaluationPeriod)
 	s.evaluatedAt = now
 	s.demand.decay(periods)
 	decay := math.Pow(recentDecay, periods)
 	var e Evidence
+	late := lateAfter(s.target)
 	sum, weight, sharedWeight := 0.0, 0.0, 0.0
 	for _, g := range s.groups {
 		g.sum, g.weight = 0, 0
@@ -247,7 +258,7 @@
 				l.shared, _ = m.Shared(now, l.token)
 				s.correct(&l.shared)
 			}
-			e.add(now, l, lateShare*float64(s.target))
+			e.add(now, l, late)
 			g.sum += l.ownWeight*l.ownTime + l.shared.Samples*float64(l.shared.ResponseTime)
 			sharedWeight += l.shared.Samples
 			g.weight += l.ownWeight + l.shared.Samples
--- a/internal/placement/part.go
+++ b/internal/placement/part.go
@@ -67,7 +67,7 @@
 	for _, g := range s.groups {
 		ranks := g.part.ranks[:0]
 		for _, l := range g.members {
-			if s.evaluatedAt-l.listedAt >= overloadWindow {
+			if s.pickedAt-l.listedAt >= overloadWindow {
 				l.kept = false
 				continue
 			}
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -411,6 +411,56 @@
 	}
 }
 
+// Guards against routes without a target latency that count every response as late.
+func TestRouteWithoutTargetLatencyIsNeverOverloaded(t *testing.T) {
+	m := Model{AvailabilityZone: localZone}
+	hosts := lifetimes(slices.Repeat([]string{localZone}, 20)...)
+	for now := time.Second; now < 4*time.Second; now += 20 * time.Millisecond {
+		token := m.Pick(now, hosts, Flow{Hash: uint64(now)}).Host.Token
+		m.Observe(now, flowevent.Event{Kind: flowevent.Requested, Host: token})
+		m.Observe(now+time.Millisecond, flowevent.Event{Kind: flowevent.Answered, Host: token, Elapsed: time.Millisecond})
+		if m.Overloaded("") {
+			t.Fatalf("overloaded after %v", now)
+		}
+	}
+}
+
+// Guards against a zone that returns during an overload and receives all flows at its first server, because nothing is
+// known of it yet, and against servers that stay kept although they are no longer listed.
+func TestListedServersChangeInOverload(t *testing.T) {
+	m := Model{AvailabilityZone: localZone}
+	hosts := lifetimes(slices.Repeat([]string{"wa-south", localZone}, 20)...)
+	remote := slices.DeleteFunc(slices.Clone(hosts), func(h *registry.Lifetime) bool { return h.Token%2 == 0 })
+	now := time.Second
+	for ; now < 5*time.Second; now += 20 * time.Millisecond {
+		m.Pick(now, remote, Flow{Hash: uint64(now), TargetLatency: replayTarget})
+		m.Observe(now, flowevent.Event{
+			Kind: flowevent.Answered, Host: uint32(now/(10*time.Millisecond))%40 + 1, Elapsed: replayTarget,
+		})
+		m.Observe(now, flowevent.Event{Kind: flowevent.Requested, Host: 1, Urgent: now%(100*time.Millisecond) == 0})
+	}
+	if !m.Overloaded("") {
+		t.Fatal("not overloaded")
+	}
+	m.Tick(now)
+	counts := map[uint32]int{}
+	for i := range 1000 {
+		counts[m.Pick(now, hosts, Flow{Hash: uint64(i), TargetLatency: replayTarget}).Host.Token]++
+	}
+	for token, n := range counts {
+		if n > 200 {
+			t.Errorf("server %d of the returned zone receives %d of 1000 flows", token, n)
+		}
+	}
+	now += overloadWindow + evaluationPeriod // No flow is opened meanwhile.
+	s := m.services[""]
+	s.lateAt = now
+	m.Pick(now, hosts, Flow{TargetLatency: replayTarget})
+	if !slices.ContainsFunc(s.groups[0].members, func(l *load) bool { return l.kept }) {
+		t.Error("no server is kept after a pause without new flows")
+	}
+}
+
 // BenchmarkPick chooses among servers of three zones, with a load report of each one, in and without an overload. It
 // includes the evaluation every 100 ms at 20 flows per second.
 func BenchmarkPick(b *testing.B) {
