dsr: recognize retries by route, not into a service without servers

Cause: a flow to another route within 20 ms of a late response counted as another attempt of it, and a retry stayed at an overloaded service whose servers were all evacuated, so that it was reset although its own target had servers.

Change: late responses are kept by caller and route; a retry stays only at a service that has servers.

--- a/internal/dsr/engine.go
+++ b/internal/dsr/engine.go
@@ -76,8 +76,8 @@
 	Flows conntrack.Table
 
 	attempts map[netip.Addr][]attempt           // by caller address, oldest first
-	late     map[netip.Addr]lateResponse        // last late response, by caller address
-	caller   netip.Addr                         // caller of the packet that is handled
+	late     map[callerRoute]lateResponse       // last late response
+	caller   callerRoute                        // of the packet that is handled
 	classes  map[netip.AddrPort]conntrack.Class // by address of the route
 	path     path
 }
@@ -109,7 +109,7 @@
 
 // HandlePacket returns the decision about a packet from a caller.
 func (e *Engine) HandlePacket(now time.Duration, p *conntrack.Packet) Verdict {
-	e.caller = p.Caller.Addr()
+	e.caller = callerRoute{p.Caller.Addr(), p.Service}
 	if p.SYN {
 		return e.handleSYN(now, p)
 	}
@@ -162,7 +162,7 @@
 	}
 	service := targetService(r, hash)
 	if f == nil {
-		tried = e.observeRetry(now, p, r, tried)
+		tried = e.observeRetry(now, r, tried)
 	}
 	service = e.retriedService(r, service, tried)
 	choice := e.Placement.Pick(now, e.Registry.Hosts(service),
@@ -209,6 +209,12 @@
 	e.attempts[p.Caller.Addr()] = append(list, attempt{key: p.Key, host: host, at: now})
 }
 
+// callerRoute is a caller and the address of the route that it uses.
+type callerRoute struct {
+	caller  netip.Addr
+	service netip.AddrPort
+}
+
 // lateResponse is a response that took longer than half of the target latency.
 type lateResponse struct {
 	host uint32 // token of the server
@@ -220,25 +226,25 @@
 		return
 	}
 	if e.late == nil {
-		e.late = map[netip.Addr]lateResponse{}
+		e.late = map[callerRoute]lateResponse{}
 	}
 	e.late[e.caller] = lateResponse{ev.Host, now}
 }
 
 // observeRetry observes that a server with a full queue has refused a request if the caller of a new flow makes another
-// attempt of it. While the server's service is overloaded, it is added to the servers that the flow avoids.
-func (e *Engine) observeRetry(now time.Duration, p *conntrack.Packet, r *registry.Route, tried []uint32) []uint32 {
-	caller := p.Caller.Addr()
-	late, ok := e.late[caller]
+// attempt of it, to the same route. While the server's service is overloaded, it is added to the servers that the flow
+// avoids.
+func (e *Engine) observeRetry(now time.Duration, r *registry.Route, tried []uint32) []uint32 {
+	late, ok := e.late[e.caller]
 	if !ok {
 		return tried
 	}
-	delete(e.late, caller)
+	delete(e.late, e.caller)
 	if now-late.at >= retryDelay {
 		return tried
 	}
 	e.Flows.Observe(now, flowevent.Event{
-		Kind: flowevent.Retried, Host: late.host, Priority: r.Priority, Urgent: e.classes[p.Service].Urgent,
+		Kind: flowevent.Retried, Host: late.host, Priority: r.Priority, Urgent: e.classes[r.Address].Urgent,
 		TargetLatency: r.TargetLatency,
 	})
 	if l := e.Registry.Lifetime(late.host); l != nil && e.Placement.Overloaded(l.Service) {
@@ -248,14 +254,14 @@
 }
 
 // retriedService returns the service of a flow. While the service of the last server that the caller has tried is
-// overloaded, the flow stays at that service, because the other services of a split route would otherwise receive
-// retries in addition to their share.
+// overloaded and has servers, the flow stays at that service, because the other services of a split route would
+// otherwise receive retries in addition to their share.
 func (e *Engine) retriedService(r *registry.Route, service string, tried []uint32) string {
 	if len(r.Targets) == 1 || len(tried) == 0 {
 		return service
 	}
 	l := e.Registry.Lifetime(tried[len(tried)-1])
-	if l != nil && e.Placement.Overloaded(l.Service) &&
+	if l != nil && e.Placement.Overloaded(l.Service) && len(e.Registry.Hosts(l.Service)) > 0 &&
 		slices.ContainsFunc(r.Targets, func(t registry.Target) bool { return t.Service == l.Service }) {
 		return l.Service
 	}
