placement: shorten the replay of overloads

The policies "hash" and "ideal", the shares by zone and the flag -replay-quick were printed but never checked.

Change: these are removed; all cases, bounds and kinds of reports remain.

--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -17,7 +17,7 @@
 // replay sends requests of three zones through 124 entry VMs to 150 servers, in virtual time. The overload lasts from
 // overloadStart to overloadEnd. Feeds (priority 2) use long flows, urgent requests one flow each.
 type replay struct {
-	policy    string                   // "old", "hash", "ideal" or "new"
+	old       bool                     // whether the choice is the one without an overload
 	shared    string                   // "", "exact", "half", "ten" (times as long) or "mixed" (ten times or a tenth)
 	slow      func(server int) float64 // factor of the work in the overload
 	feeds     float64                  // factor of the number of feeds in the overload
@@ -29,7 +29,7 @@
 	models    []*Model
 	hosts     []*registry.Lifetime
 	nodes     [150]node
-	counts    [3][4]int // by zone of the caller: requests and those in time, of urgent routes and feeds
+	counts    [4]int // requests and those in time, of urgent routes and feeds
 	refusals  int
 	overloads int // entry VMs at which an overload has not ended
 }
@@ -46,7 +46,6 @@
 	work    time.Duration
 	busy    int
 	waiting []func()
-	open    int
 	reports [3][]report // by zone of the entry VM
 	known   [3]Shared
 	sent    [entryVMs]int // requests outstanding, by entry VM
@@ -97,11 +96,7 @@
 	case len(n.waiting) < 8:
 		n.waiting = append(n.waiting, start)
 	default:
-		delay := 5 * time.Millisecond
-		if !*replayQuick {
-			delay = time.Duration(270+r.random.IntN(300)) * time.Millisecond
-		}
-		r.after(delay, func() { done(true) })
+		r.after(time.Duration(270+r.random.IntN(300))*time.Millisecond, func() { done(true) })
 	}
 }
 
@@ -110,35 +105,17 @@
 	vm = r.random.IntN(entryVMs/3)*3 + zone
 	f := Flow{Hash: r.random.Uint64(), TargetLatency: replayTarget, Urgent: priority == 1, Tried: tried}
 	m := r.models[vm]
-	token := uint32(0)
-	if r.policy == "ideal" {
-		lowest := math.Inf(1)
-		for i := range r.nodes {
-			n, slow := &r.nodes[i], 1.0
-			if r.overloaded() {
-				slow = r.slow(i)
-			}
-			queue := float64(n.busy+len(n.waiting))/2 + float64(n.open)/20 + r.random.Float64()/4
-			cost := float64(n.work) * slow * (1 + queue)
-			if cost < lowest {
-				token, lowest = uint32(i+1), cost
-			}
-		}
-	} else {
-		token = m.Pick(r.now, r.hosts, f).Host.Token
-		if r.policy == "old" {
-			m.services[""].evaluatedAt = time.Hour // No overload is detected before then.
-		}
+	token := m.Pick(r.now, r.hosts, f).Host.Token
+	if r.old {
+		m.services[""].evaluatedAt = time.Hour // No overload is detected before then.
 	}
 	m.Observe(r.now, flowevent.Event{Kind: flowevent.Opened, Host: token})
 	m.Observe(r.now, flowevent.Event{Kind: flowevent.Accepted, Host: token})
-	r.nodes[token-1].open++
 	return vm, int(token - 1)
 }
 
 func (r *replay) close(vm, server int) {
 	r.models[vm].Observe(r.now, flowevent.Event{Kind: flowevent.Closed, Host: uint32(server + 1)})
-	r.nodes[server].open--
 }
 
 // send sends a request on a flow and calls done after the response. A refused request is sent again on a new flow.
@@ -164,10 +141,9 @@
 			}
 			r.send(q, next, other, func() { r.close(next, other) })
 		case q.at >= overloadStart && q.at < overloadEnd:
-			c := &r.counts[q.zone]
-			c[2*q.priority-2]++
+			r.counts[2*q.priority-2]++
 			if !refused && r.now-q.at <= replayTarget {
-				c[2*q.priority-1]++
+				r.counts[2*q.priority-1]++
 			}
 		}
 		done()
@@ -243,7 +219,7 @@
 	}
 	r.hosts = lifetimes(zones...)
 	for vm := range entryVMs {
-		m := &Model{AvailabilityZone: names[vm%3], HashOnly: r.policy == "hash"}
+		m := &Model{AvailabilityZone: names[vm%3]}
 		if r.shared != "" {
 			m.Shared = func(_ time.Duration, token uint32) (Shared, bool) {
 				s := r.nodes[token-1].known[vm%3]
@@ -284,34 +260,24 @@
 	}
 }
 
-// share returns the share of the requests of a priority, from callers of the given zones, that were answered in time.
-func (r *replay) share(priority int, zones ...int) float64 {
-	all, timely := 0, 0
-	for _, z := range zones {
-		all += r.counts[z][2*priority-2]
-		timely += r.counts[z][2*priority-1]
-	}
-	return float64(timely) / float64(all)
+// share returns the share of the requests of a priority that were answered in time.
+func (r *replay) share(priority int) float64 {
+	return float64(r.counts[2*priority-1]) / float64(r.counts[2*priority-2])
 }
 
-var (
-	replaySeeds = flag.Int("replay-seeds", 1, "number of seeds of each replay")
-	replayQuick = flag.Bool("replay-quick", false, "servers refuse requests within 5 ms")
-)
+var replaySeeds = flag.Int("replay-seeds", 1, "number of seeds of each replay")
 
 // replays sums the replays of a case with all seeds.
-func replays(overload replay, policy, shared string) *replay {
+func replays(overload replay, old bool, shared string) *replay {
 	sum := &replay{}
 	for seed := range *replaySeeds {
 		r := overload
-		r.policy, r.shared = policy, shared
+		r.old, r.shared = old, shared
 		r.run(uint64(seed + 1))
 		sum.refusals += r.refusals
 		sum.overloads += r.overloads
-		for z := range r.counts {
-			for i := range r.counts[z] {
-				sum.counts[z][i] += r.counts[z][i]
-			}
+		for i := range r.counts {
+			sum.counts[i] += r.counts[i]
 		}
 	}
 	return sum
@@ -336,33 +302,20 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			old := replays(test.replay, "old", "")
-			for _, p := range [][2]string{
-				{"hash", ""},
-				{"old", ""},
-				{"ideal", ""},
-				{"new", ""},
-				{"new", "exact"},
-				{"new", "half"},
-				{"new", "ten"},
-				{"new", "mixed"},
-			} {
-				r := replays(test.replay, p[0], p[1])
-				urgent, feeds := r.share(1, 0, 1, 2), r.share(2, 0, 1, 2)
-				t.Logf("%-5s %-5s urgent %.3f (%.3f %.3f %.3f) feeds %.3f (%.3f %.3f %.3f) 503s %d", p[0], p[1],
-					urgent, r.share(1, 0), r.share(1, 1), r.share(1, 2), feeds, r.share(2, 0), r.share(2, 1), r.share(2, 2),
-					r.refusals / *replaySeeds)
-				if p[0] != "new" {
-					continue
-				}
-				if want := old.share(1, 0, 1, 2) + test.urgentGain; urgent < want {
-					t.Errorf("%s reports: share %.3f of urgent requests in time, want at least %.3f", p[1], urgent, want)
+			old := replays(test.replay, true, "")
+			for _, shared := range []string{"", "exact", "half", "ten", "mixed"} {
+				r := replays(test.replay, false, shared)
+				urgent, feeds := r.share(1), r.share(2)
+				t.Logf("%q reports: urgent %.3f (before %.3f) feeds %.3f (%.3f) 503s %d (%d)", shared, urgent, old.share(1),
+					feeds, old.share(2), r.refusals / *replaySeeds, old.refusals / *replaySeeds)
+				if want := old.share(1) + test.urgentGain; urgent < want {
+					t.Errorf("%q reports: share %.3f of urgent requests in time, want at least %.3f", shared, urgent, want)
 				}
-				if want := old.share(2, 0, 1, 2) - test.feedsLoss; feeds < want {
-					t.Errorf("%s reports: share %.3f of feeds in time, want at least %.3f", p[1], feeds, want)
+				if want := old.share(2) - test.feedsLoss; feeds < want {
+					t.Errorf("%q reports: share %.3f of feeds in time, want at least %.3f", shared, feeds, want)
 				}
 				if r.overloads > 0 {
-					t.Errorf("%s reports: the overload has not ended at %d entry VMs", p[1], r.overloads)
+					t.Errorf("%q reports: the overload has not ended at %d entry VMs", shared, r.overloads)
 				}
 			}
 		})
