--- a/internal/dsr/overload_test.go
+++ b/internal/dsr/overload_test.go
@@ -14,8 +14,8 @@
 )
 
 // Guards against a service of a split route receiving the retries of callers of another one that is full, and against a
-// retry that goes to the server which has just refused the request, or to a service without servers, and against flows to
-// other routes that count as retries. New flows keep the weights of the operators.
+// retry that goes to the server which has just refused the request, or to a service without servers, and against
+// flows to other routes that count as retries. New flows keep the weights of the operators.
 func TestRetriesStayAtOverloadedService(t *testing.T) {
 	is := is.New(t)
 	e := newTestEngine(t, 0)
