--- a/internal/dsr/engine.go
+++ b/internal/dsr/engine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,9 @@
 	attemptRetention = time.Second
 	// maxAttempts is the maximum number of attempts that are kept for each caller.
 	maxAttempts = 8
+	// retryDelay is the time after a late response within which a new flow of its caller is another attempt of the same
+	// request. Callers make it within milliseconds.
+	retryDelay = 20 * time.Millisecond
 )
 
 // Action is what the entry VM does with a packet.
@@ -71,7 +75,10 @@
 	// Flows tracks the flows and reports their events to Placement.
 	Flows conntrack.Table
 
-	attempts map[netip.Addr][]attempt // by caller address, oldest first
+	attempts map[netip.Addr][]attempt           // by caller address, oldest first
+	late     map[callerRoute]lateResponse       // last late response
+	caller   callerRoute                        // of the packet that is handled
+	classes  map[netip.AddrPort]conntrack.Class // by address of the route
 	path     path
 }
 
@@ -91,11 +98,18 @@
 	e.Flows.Observe = func(now time.Duration, ev flowevent.Event) {
 		e.path.observe(now, ev)
 		e.Placement.Observe(now, ev)
+		e.recordLateResponse(now, ev)
+	}
+	e.Flows.Classify = func(address netip.AddrPort) conntrack.Class { return e.classes[address] }
+	e.Registry.ConfigurationChanged = func() {
+		e.classes = classify(e.Registry.Configuration().Routes)
+		e.Flows.Reclassify()
 	}
 }
 
 // HandlePacket returns the decision about a packet from a caller.
 func (e *Engine) HandlePacket(now time.Duration, p *conntrack.Packet) Verdict {
+	e.caller = callerRoute{p.Caller.Addr(), p.Service}
 	if p.SYN {
 		return e.handleSYN(now, p)
 	}
@@ -147,8 +161,12 @@
 		tried = append(append(tried, f.Tried...), f.Host)
 	}
 	service := targetService(r, hash)
+	if f == nil {
+		tried = e.observeRetry(now, r, tried)
+	}
+	service = e.retriedService(r, service, tried)
 	choice := e.Placement.Pick(now, e.Registry.Hosts(service),
-		placement.Flow{Hash: hash, TargetLatency: r.TargetLatency, Priority: r.Priority, Tried: tried})
+		placement.Flow{Hash: hash, TargetLatency: r.TargetLatency, Urgent: e.classes[p.Service].Urgent, Tried: tried})
 	if choice.Host == nil {
 		if e.Registry.HasEvacuatedHosts(service) {
 			choice.Reason = ReasonEvacuated
@@ -191,13 +209,77 @@
 	e.attempts[p.Caller.Addr()] = append(list, attempt{key: p.Key, host: host, at: now})
 }
 
-// expireAttempts removes the callers whose last attempt is older than attemptRetention.
+// callerRoute is a caller and the address of the route that it uses.
+type callerRoute struct {
+	caller  netip.Addr
+	service netip.AddrPort
+}
+
+// lateResponse is a response that took longer than half of the target latency.
+type lateResponse struct {
+	host uint32 // token of the server
+	at   time.Duration
+}
+
+func (e *Engine) recordLateResponse(now time.Duration, ev flowevent.Event) {
+	if ev.Kind != flowevent.Answered || ev.TargetLatency == 0 || ev.Elapsed <= ev.TargetLatency/2 {
+		return
+	}
+	if e.late == nil {
+		e.late = map[callerRoute]lateResponse{}
+	}
+	e.late[e.caller] = lateResponse{ev.Host, now}
+}
+
+// observeRetry observes that a server with a full queue has refused a request if the caller of a new flow makes another
+// attempt of it, to the same route. While the server's service is overloaded, it is added to the servers that the flow
+// avoids.
+func (e *Engine) observeRetry(now time.Duration, r *registry.Route, tried []uint32) []uint32 {
+	late, ok := e.late[e.caller]
+	if !ok {
+		return tried
+	}
+	delete(e.late, e.caller)
+	if now-late.at >= retryDelay {
+		return tried
+	}
+	e.Flows.Observe(now, flowevent.Event{
+		Kind: flowevent.Retried, Host: late.host, Priority: r.Priority, Urgent: e.classes[r.Address].Urgent,
+		TargetLatency: r.TargetLatency,
+	})
+	if l := e.Registry.Lifetime(late.host); l != nil && e.Placement.Overloaded(l.Service) {
+		tried = append(tried, late.host)
+	}
+	return tried
+}
+
+// retriedService returns the service of a flow. While the service of the last server that the caller has tried is
+// overloaded and has servers, the flow stays at that service, because the other services of a split route would
+// otherwise receive retries in addition to their share.
+func (e *Engine) retriedService(r *registry.Route, service string, tried []uint32) string {
+	if len(r.Targets) == 1 || len(tried) == 0 {
+		return service
+	}
+	l := e.Registry.Lifetime(tried[len(tried)-1])
+	if l != nil && e.Placement.Overloaded(l.Service) && len(e.Registry.Hosts(l.Service)) > 0 &&
+		slices.ContainsFunc(r.Targets, func(t registry.Target) bool { return t.Service == l.Service }) {
+		return l.Service
+	}
+	return service
+}
+
+// expireAttempts removes the callers whose last attempt or late response is no longer evidence.
 func (e *Engine) expireAttempts(now time.Duration) {
 	for caller, list := range e.attempts {
 		if now-list[len(list)-1].at >= attemptRetention {
 			delete(e.attempts, caller)
 		}
 	}
+	for caller, r := range e.late {
+		if now-r.at >= retryDelay {
+			delete(e.late, caller)
+		}
+	}
 }
 
 // Tick expires entries of the registry, the flow table and the attempts. It is called every TickPeriod.
@@ -205,6 +287,7 @@
 	e.Registry.Sweep(now)
 	e.Flows.Sweep(now)
 	e.expireAttempts(now)
+	e.Placement.Tick(now)
 }
 
 // targetService returns the service of a flow. All entry VMs choose the same service for the same flow.
