Report the servers that placement marks

Cause: placement and load reports were built side by side and not connected. Change: MarkLoaded marks the servers that the load reports tell about.

--- a/cmd/masticspard/dsr.go
+++ b/cmd/masticspard/dsr.go
@@ -79,7 +79,7 @@
 	e := &d.engine
 	e.Placement = placement.Model{
 		AvailabilityZone: d.settings.AvailabilityZone, HashOnly: d.settings.Placement == dsrsettings.PlacementHash,
-		SuspicionChanged: d.logSuspicion, OverloadChanged: d.logOverload,
+		SuspicionChanged: d.logSuspicion, MarkLoaded: d.setLoaded, OverloadChanged: d.logOverload,
 	}
 	e.Registry.Changed, e.Registry.OnReplaced = d.logHostState, d.logReplaced
 	e.Registry.EvacuationChanged = d.logEvacuation
