conntrack: name the route in Answered events

Cause: observers of response times need the priority and the target latency of the route, which they cannot find from the token of the server. Change: flowevent.Event has the address that the caller connected to, set in Answered events. Two tests compare whole events and now expect it. Measured: tests of conntrack pass with -race.

--- a/internal/conntrack/table.go
+++ b/internal/conntrack/table.go
@@ -165,7 +165,9 @@
 		if fresh { // The acknowledgement was sent with the next request, so the response time is unknown.
 			elapsed = 0
 		}
-		t.emitEvent(now, flowevent.Event{Kind: flowevent.Answered, Host: f.Host, Elapsed: elapsed, Repeats: f.repeats})
+		t.emitEvent(now, flowevent.Event{
+			Kind: flowevent.Answered, Host: f.Host, Route: p.Service, Elapsed: elapsed, Repeats: f.repeats,
+		})
 	}
 	switch {
 	case fresh:
--- a/internal/conntrack/table_test.go
+++ b/internal/conntrack/table_test.go
@@ -47,7 +47,7 @@
 	r.HandlePacket(4*ms, packet(300, 500, 50), 1) // Remainder of the request.
 	r.HandlePacket(34*ms, packet(350, 1700, 0), 1)
 	is.Equal(r.events[2].Kind, flowevent.Requested)
-	is.Equal(r.events[3], flowevent.Event{Kind: flowevent.Answered, Host: 1, Elapsed: 30 * ms})
+	is.Equal(r.events[3], flowevent.Event{Kind: flowevent.Answered, Host: 1, Route: key.Service, Elapsed: 30 * ms})
 	is.Equal(r.kinds(), []flowevent.Kind{flowevent.Opened, flowevent.Accepted, flowevent.Requested, flowevent.Answered})
 }
 
@@ -60,7 +60,7 @@
 	r.HandlePacket(0, packet(100, 500, 200), 1)
 	r.kinds()
 	r.HandlePacket(900*ms, packet(300, 600, 200), 1)
-	is.Equal(r.events[0], flowevent.Event{Kind: flowevent.Answered, Host: 1})
+	is.Equal(r.events[0], flowevent.Event{Kind: flowevent.Answered, Host: 1, Route: key.Service})
 	is.Equal(r.kinds(), []flowevent.Kind{flowevent.Answered, flowevent.Requested})
 }
 
--- a/internal/flowevent/event.go
+++ b/internal/flowevent/event.go
@@ -1,6 +1,9 @@
 package flowevent
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // Kind is the kind of an event.
 type Kind uint8
@@ -31,6 +34,8 @@
 	Kind Kind
 	// Service and Host are the IDs in the fleet catalog; in events of package conntrack, Host is a token and Service is 0.
 	Service, Host uint32
+	// Route is the address that the caller connected to, in an Answered event of package conntrack.
+	Route netip.AddrPort
 	// Elapsed is the time since the SYN or the request that the event ends, unless its kind defines another time; 0 if it
 	// is unknown or does not apply.
 	Elapsed time.Duration
