dsr: ask the overload gate about first SYNs

Cause: no part decided whether the first SYN of a flow is worth forwarding. Change: the engine asks overload.Gate after placement has chosen a server, and reports answers to it. A SYN that was forwarded before is never refused. The line flow-reset shows priority, expected response time, target latency and probability. placement.Choice has the field Overloaded, which placement does not set yet, so nothing is refused so far.

--- a/cmd/masticsparctl/explain_test.go
+++ b/cmd/masticsparctl/explain_test.go
@@ -47,3 +47,17 @@
 		is.True(strings.HasPrefix(stderr.String(), "masticsparctl: "))
 	}
 }
+
+// Guards against a refusal by overload whose reason is not shown for the request, or is shown for another one.
+func TestExplainShowsOverloadRefusal(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "entry-1.log")
+	line := "ts=2026-12-04T08:00:02Z level=info msg=flow-reset caller=100.64.0.7:4001 service-address=198.18.0.1:443 " +
+		"token=0 syn=true configuration=1 picture-age=10ms reason=overload priority=2 expected=310ms " +
+		"target-latency=400ms probability=0.95\n"
+	other := strings.ReplaceAll(line, "4001", "4002")
+	is.NoErr(os.WriteFile(file, []byte(other+line), 0o600))
+	var out, stderr strings.Builder
+	is.Equal(run([]string{"explain", "--match", "caller=100.64.0.7:4001,reason=overload", "--", file}, &out, &stderr), exitOK)
+	is.Equal(out.String(), line)
+}
--- a/cmd/masticspard/dsr.go
+++ b/cmd/masticspard/dsr.go
@@ -80,6 +80,7 @@
 		AvailabilityZone: d.settings.AvailabilityZone, HashOnly: d.settings.Placement == dsrsettings.PlacementHash,
 		SuspicionChanged: d.logSuspicion,
 	}
+	e.Gate.Counters = d.counters
 	e.Registry.Changed, e.Registry.OnReplaced = d.logHostState, d.logReplaced
 	e.Registry.EvacuationChanged = d.logEvacuation
 	e.Registry.Retention = time.Duration(d.settings.FlowLifetime) + time.Duration(d.settings.SettleTime)
--- a/cmd/masticspard/dsr_log.go
+++ b/cmd/masticspard/dsr_log.go
@@ -76,6 +76,10 @@
 	if v.Reason != "" {
 		fields = append(fields, zap.String("reason", v.Reason))
 	}
+	if o := v.Overload; o != nil {
+		fields = append(fields, zap.Int("priority", o.Priority), zap.Duration("expected", o.Expected),
+			zap.Duration("target-latency", o.TargetLatency), zap.Float64("probability", o.Probability))
+	}
 	if v.Host != nil {
 		load := d.engine.Placement.Load(now, v.Host.Token)
 		fields = append(fields, zap.String("host", v.Host.Name), zap.Stringer("host-state", v.Host.State),
--- a/internal/dsr/engine.go
+++ b/internal/dsr/engine.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/masticspar/masticspar/internal/conntrack"
 	"github.com/masticspar/masticspar/internal/flowevent"
+	"github.com/masticspar/masticspar/internal/overload"
 	"github.com/masticspar/masticspar/internal/placement"
 	"github.com/masticspar/masticspar/internal/registry"
 )
@@ -59,6 +61,15 @@
 	Reason string
 	// Retried reports whether the packet is a retransmitted SYN for which a server was chosen again.
 	Retried bool
+	// Overload is set if the gate refused the SYN.
+	Overload *Refusal
+}
+
+// Refusal is why the gate refused a SYN.
+type Refusal struct {
+	overload.Request
+	// Probability is the probability with which the SYN was refused.
+	Probability float64
 }
 
 // Engine decides about the packets that reach one entry VM. The zero value has no configuration and holds SYNs; Start
@@ -68,7 +79,9 @@
 	Registry registry.Registry
 	// Placement chooses the servers of new flows.
 	Placement placement.Model
-	// Flows tracks the flows and reports their events to Placement.
+	// Gate refuses new flows of an overloaded service.
+	Gate overload.Gate
+	// Flows tracks the flows and reports their events to Placement and Gate.
 	Flows conntrack.Table
 
 	attempts map[netip.Addr][]attempt // by caller address, oldest first
@@ -91,6 +104,12 @@
 	e.Flows.Observe = func(now time.Duration, ev flowevent.Event) {
 		e.path.observe(now, ev)
 		e.Placement.Observe(now, ev)
+		if ev.Kind != flowevent.Answered {
+			return
+		}
+		if r := e.Registry.Route(ev.Route); r != nil {
+			e.Gate.Observe(now, r.Priority, ev.Elapsed, r.TargetLatency)
+		}
 	}
 }
 
@@ -155,11 +174,33 @@
 		}
 		return Verdict{Action: Reset, Reason: choice.Reason}
 	}
+	if refusal := e.refusal(now, p, r, &choice); refusal != nil {
+		return Verdict{Action: Reset, Reason: overload.ReasonOverload, Overload: refusal}
+	}
 	e.Flows.Open(now, p, choice.Host.Token)
 	e.recordAttempt(now, p, choice.Host.Token)
 	return Verdict{Action: Forward, Host: choice.Host, Retried: f != nil}
 }
 
+// refusal asks the gate about the first SYN of a flow, and returns nil if it is admitted. A retransmitted SYN is not
+// refused, because a server that received the SYN before may still open the flow. Table forgets a SYN that was not
+// repeated for 300 ms, but the second retransmission follows 400 ms after the first, so the attempts count as well.
+func (e *Engine) refusal(now time.Duration, p *conntrack.Packet, r *registry.Route, c *placement.Choice) *Refusal {
+	forwarded := func(a attempt) bool { return a.key == p.Key }
+	if e.Flows.Get(p.Key) != nil || slices.ContainsFunc(e.attempts[p.Caller.Addr()], forwarded) {
+		return nil
+	}
+	request := overload.Request{
+		Caller: p.Caller.Addr(), Priority: r.Priority, TargetLatency: r.TargetLatency,
+		Expected: c.Expected, Known: c.Known, Overloaded: c.Overloaded,
+	}
+	probability := e.Gate.Probability(now, request)
+	if ok, _ := e.Gate.Admit(now, request); ok {
+		return nil
+	}
+	return &Refusal{Request: request, Probability: probability}
+}
+
 // attempt is a recent SYN of a caller.
 type attempt struct {
 	key  conntrack.Key
@@ -200,10 +241,11 @@
 	}
 }
 
-// Tick expires entries of the registry, the flow table and the attempts. It is called every TickPeriod.
+// Tick expires entries of the registry, the flow table, the gate and the attempts. It is called every TickPeriod.
 func (e *Engine) Tick(now time.Duration) {
 	e.Registry.Sweep(now)
 	e.Flows.Sweep(now)
+	e.Gate.Tick(now)
 	e.expireAttempts(now)
 }
 
--- a/internal/dsr/engine_test.go
+++ b/internal/dsr/engine_test.go
@@ -352,6 +352,36 @@
 	is.Equal(v.Host, former)
 }
 
+// Guards against resetting a retransmitted SYN, whose flow a server may still open, and against answers that do not
+// reach the gate with the target latency of their route.
+func TestOnlyFirstSYNIsRefused(t *testing.T) {
+	is := is.New(t)
+	e := newTestEngine(t, 1)
+	e.Gate.Random = func() float64 { return 0 }
+	choice := &placement.Choice{Expected: 2 * targetLatency, Known: true, Overloaded: true}
+	refused := func(c *caller) bool {
+		return e.refusal(e.now, &conntrack.Packet{Key: c.Key, SYN: true}, e.Registry.Route(serviceAddress), choice) != nil
+	}
+	is.True(!refused(e.caller(1))) // No answer has been observed.
+	open := e.caller(2)
+	open.open()
+	for i := range 20 {
+		open.request(targetLatency * time.Duration(i%2*2+1))
+	}
+	is.True(refused(e.caller(3)))
+	choice.Overloaded = false
+	is.True(!refused(e.caller(4)))
+	choice.Overloaded = true
+	sent := e.caller(5)
+	is.Equal(sent.syn().Action, Forward)
+	is.True(!refused(sent))
+	e.advance(600 * time.Millisecond)
+	is.Equal(e.Flows.Get(sent.Key), nil) // The flow table has forgotten the SYN.
+	is.True(!refused(sent))
+	open.request(2 * targetLatency)
+	is.True(refused(e.caller(6)))
+}
+
 // Guards against the targets of a route receiving shares of flows that differ from their weights or between entry VMs,
 // because the choice must depend only on the flow. A target with a weight of 10% must receive 5% to 15% of 5000 flows.
 func TestTargetSharesFollowWeights(t *testing.T) {
--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -89,6 +89,8 @@
 	Expected time.Duration
 	// Known reports whether Expected rests on recent observations of this server by any entry VM.
 	Known bool
+	// Overloaded reports whether an overload of the service has been detected.
+	Overloaded bool
 }
 
 // Observe updates the state of the server that the event names by its token.
