overload: test the log line without a running daemon

Cause: the test of the line flow-reset replaced the log of a daemon whose components were running, which -race reports. Change: it logs with a daemon that has only a log and a timer, and expects the same line. Long lines are wrapped.

--- a/cmd/masticspard/dsr_log_test.go
+++ b/cmd/masticspard/dsr_log_test.go
@@ -12,20 +12,19 @@
 	"github.com/masticspar/masticspar/internal/conntrack"
 	"github.com/masticspar/masticspar/internal/dsr"
 	"github.com/masticspar/masticspar/internal/overload"
+	"github.com/masticspar/masticspar/internal/timer"
 )
 
 // Guards against a line about a refused SYN that does not show what the refusal depended on, or not in the form that
 // masticsparctl explain matches.
 func TestDSRLogShowsOverloadRefusal(t *testing.T) {
 	is := is.New(t)
-	s := newDSRSite(t)
-	d, _ := s.start(s.settings("entry-1"))
 	var out bytes.Buffer
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.log = newLogger(zapcore.AddSync(&out))
+	clock, stop := timer.New(dsr.TickPeriod)
+	defer stop()
+	d := &dsrDaemon{log: newLogger(zapcore.AddSync(&out)), timer: clock}
 	request := overload.Request{Priority: 2, TargetLatency: 400 * time.Millisecond, Expected: 310 * time.Millisecond}
-	d.logFlow(d.timer.Now(), "flow-reset", &conntrack.Packet{SYN: true}, dsr.Verdict{
+	d.logFlow(clock.Now(), "flow-reset", &conntrack.Packet{SYN: true}, dsr.Verdict{
 		Action: dsr.Reset, Reason: overload.ReasonOverload, Overload: &dsr.Refusal{Request: request, Probability: 0.95},
 	})
 	want := "reason=overload priority=2 expected=310ms target-latency=400ms probability=0.95\n"
--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -40,8 +40,8 @@
 	// shareDecay is the time over which the share of answers in time is averaged. It is longer than a full queue takes to
 	// pass (about 1 s), so that a refusal can show its effect.
 	shareDecay = 3 * time.Second
-	// maxSamples bounds the weight of earlier answers, so that about two dozen new answers prevail even if the clock stands
-	// still, and a busy entry VM opens as fast after the overload as one with few answers.
+	// maxSamples bounds the weight of earlier answers, so that about two dozen new answers prevail even if the clock
+	// stands still, and a busy entry VM opens as fast after the overload as one with few answers.
 	maxSamples = 16
 	// shareSamples does the same for the share of answers in time; futileShare of it must be several answers.
 	shareSamples = 64
