overload: make the test of oscillation fail for a threshold

Cause: the test looked at the slots in use, which the queues of the servers keep in use; it passed with a threshold in place of the probability. Change: it bounds the variation of the requests at a server, and still requires that the servers are not idle.

--- a/internal/overload/gate_test.go
+++ b/internal/overload/gate_test.go
@@ -149,29 +149,28 @@
 	}
 }
 
-// Guards against gates that, together, alternate between refusing and admitting: from the third second of the overload
-// on, the servers must be neither idle nor refusing in any 500 ms.
+// Guards against gates that, together, alternate between refusing and admitting, as they do with a threshold: from the
+// third second of the overload on, the requests at a server, on average over all, must not vary by 2 or more (with a
+// threshold, by more than 3), and the servers must not be idle.
 func TestGatesDoNotOscillate(t *testing.T) {
 	for _, gates := range []int{58, 124} {
 		s := newSite(gates, 120, work)
 		s.ask(urgent, 433, 12*time.Second)
 		s.ask(feeds, 2817, 12*time.Second)
 		s.run(3 * time.Second)
-		low, high := 1.0, 0.0
+		low, high, used := 10.0, 0.0, 1.0
 		for s.now < 12*time.Second {
-			running, before := 0, s.now
-			for s.now < before+500*time.Millisecond {
-				s.run(s.now + 100*time.Millisecond)
-				for _, v := range s.servers {
-					running += v.running
-				}
+			s.run(s.now + 100*time.Millisecond)
+			running, waiting := 0.0, 0.0
+			for _, v := range s.servers {
+				running += float64(v.running) / 120
+				waiting += float64(len(v.queue)) / 120
 			}
-			used := float64(running) / (5 * 2 * 120)
-			low, high = min(low, used), max(high, used)
+			low, high, used = min(low, running+waiting), max(high, running+waiting), min(used, running/2)
 		}
-		t.Logf("%d gates: %.3f to %.3f of the slots used", gates, low, high)
-		if low < 0.85 {
-			t.Errorf("%d gates: only %.3f of the slots used", gates, low)
+		t.Logf("%d gates: %.2f to %.2f requests at a server, at least %.3f of the slots used", gates, low, high, used)
+		if high-low >= 2 || used < 0.85 {
+			t.Errorf("%d gates: oscillation", gates)
 		}
 	}
 }
