Limit the requests in flight to an overloaded service at each entry VM

Cause: an entry VM forwarded every SYN, so servers filled their queues, answered nearly everything late and refused the rest after 270 to 570 ms; each refusal brought two further attempts. Change: package overload, asked for the first SYN of a flow while placement reports an overload. The limit follows from the rate of answers and the target latency, and is never below what the slots of the servers hold.

--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -64,6 +64,8 @@
 	configurationSource  netip.AddrPort
 	configurationVersion uint64
 
+	setEntryVMs func(n int) // is called with the number of active entry VMs
+
 	stateSource netip.AddrPort // the member that announced the latest era of the store
 }
 
@@ -143,6 +145,7 @@
 	active := p.list.Active()
 	p.group.SetMembers(active)
 	p.loads.SetMembers(active)
+	p.setEntryVMs(len(active))
 }
 
 // startPeers opens the socket for other entry VMs. It does nothing when the settings have no peer address.
@@ -154,6 +157,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := newPeers(s, d.counters, d.log, d.timer.Now)
+	p.setEntryVMs = func(n int) { d.engine.EntryVMs = n }
 	socket, stop, err := fabric.New(s.PeerAddress, d.counters, d.handlePeerDatagrams)
 	if err != nil {
 		return nil, errors.Annotate(err, "peer-address")
--- a/internal/dsr/engine.go
+++ b/internal/dsr/engine.go
@@ -10,6 +10,7 @@
 
 	"github.com/masticspar/masticspar/internal/conntrack"
 	"github.com/masticspar/masticspar/internal/flowevent"
+	"github.com/masticspar/masticspar/internal/overload"
 	"github.com/masticspar/masticspar/internal/placement"
 	"github.com/masticspar/masticspar/internal/registry"
 )
@@ -63,6 +64,15 @@
 	Reason string
 	// Retried reports whether the packet is a retransmitted SYN for which a server was chosen again.
 	Retried bool
+	// Overload is set if the gate refused the SYN.
+	Overload *Refusal
+}
+
+// Refusal is why the gate refused a SYN.
+type Refusal struct {
+	overload.Request
+	// InFlight is the number of requests in flight that counted, and Limit the limit for them.
+	InFlight, Limit float64
 }
 
 // Engine decides about the packets that reach one entry VM. The zero value has no configuration and holds SYNs; Start
@@ -72,9 +82,14 @@
 	Registry registry.Registry
 	// Placement chooses the servers of new flows.
 	Placement placement.Model
-	// Flows tracks the flows and reports their events to Placement.
+	// Gate refuses new flows of an overloaded service.
+	Gate overload.Gate
+	// Flows tracks the flows and reports their events to Placement and Gate.
 	Flows conntrack.Table
 
+	// EntryVMs is the number of active entry VMs; 0 if it is unknown.
+	EntryVMs int
+
 	attempts map[netip.Addr][]attempt           // by caller address, oldest first
 	late     map[callerRoute]lateResponse       // last late response
 	caller   callerRoute                        // of the packet that is handled
@@ -99,11 +114,15 @@
 		e.path.observe(now, ev)
 		e.Placement.Observe(now, ev)
 		e.recordLateResponse(now, ev)
+		if l := e.Registry.Lifetime(ev.Host); l != nil {
+			e.Gate.Observe(now, l.Service, ev)
+		}
 	}
 	e.Flows.Classify = func(address netip.AddrPort) conntrack.Class { return e.classes[address] }
 	e.Registry.ConfigurationChanged = func() {
 		e.classes = classify(e.Registry.Configuration().Routes)
 		e.Flows.Reclassify()
+		e.Gate.Reset()
 	}
 }
 
@@ -173,11 +192,49 @@
 		}
 		return Verdict{Action: Reset, Reason: choice.Reason}
 	}
+	if refusal := e.refusal(now, p, r, &choice); refusal != nil {
+		return Verdict{Action: Reset, Reason: overload.ReasonOverload, Overload: refusal}
+	}
 	e.Flows.Open(now, p, choice.Host.Token)
 	e.recordAttempt(now, p, choice.Host.Token)
 	return Verdict{Action: Forward, Host: choice.Host, Retried: f != nil}
 }
 
+// refusal asks the gate about the first SYN of a flow, and returns nil if it is admitted. A retransmitted SYN is not
+// refused, because a server that received the SYN before may still open the flow. Callers count retransmissions in the
+// acknowledgement number of the SYN, which also tells about those that passed another entry VM. Table forgets a SYN that was
+// not repeated for 300 ms, but the second retransmission follows 400 ms after the first, so the attempts count as well.
+func (e *Engine) refusal(now time.Duration, p *conntrack.Packet, r *registry.Route, c *placement.Choice) *Refusal {
+	forwarded := func(a attempt) bool { return a.key == p.Key }
+	if !c.Overloaded || p.Acknowledged > 0 || e.Flows.Get(p.Key) != nil ||
+		slices.ContainsFunc(e.attempts[p.Caller.Addr()], forwarded) {
+		return nil
+	}
+	request := overload.Request{
+		Service: c.Host.Service, Caller: p.Caller.Addr(), Priority: r.Priority, Urgent: e.classes[p.Service].Urgent,
+		TargetLatency: r.TargetLatency, Expected: c.Expected, Known: c.Known, Overloaded: c.Overloaded,
+		Slots: e.slots(c.Host.Service),
+	}
+	inFlight, limit := e.Gate.Limit(now, request)
+	if ok, _ := e.Gate.Admit(now, request); ok {
+		return nil
+	}
+	return &Refusal{Request: request, InFlight: inFlight, Limit: limit}
+}
+
+// slots returns the number of requests that the servers of a service process at a time, for each entry VM; 0 if the
+// number of entry VMs is unknown.
+func (e *Engine) slots(service string) float64 {
+	if e.EntryVMs == 0 {
+		return 0
+	}
+	n := 0
+	for _, l := range e.Registry.Hosts(service) {
+		n += l.Slots
+	}
+	return float64(n) / float64(e.EntryVMs)
+}
+
 // attempt is a recent SYN of a caller.
 type attempt struct {
 	key  conntrack.Key
@@ -282,10 +339,11 @@
 	}
 }
 
-// Tick expires entries of the registry, the flow table and the attempts. It is called every TickPeriod.
+// Tick expires entries of the registry, the flow table, the gate and the attempts. It is called every TickPeriod.
 func (e *Engine) Tick(now time.Duration) {
 	e.Registry.Sweep(now)
 	e.Flows.Sweep(now)
+	e.Gate.Tick(now)
 	e.expireAttempts(now)
 	e.Placement.Tick(now)
 }
