--- a/internal/dsr/engine_test.go
+++ b/internal/dsr/engine_test.go
@@ -363,6 +363,38 @@
 	is.Equal(v.Host, former)
 }
 
+// Guards against resetting a retransmitted SYN, whose flow a server may still open, also if this entry VM has not seen
+// the first one, and against requests that do not reach the gate.
+func TestOnlyFirstSYNIsRefused(t *testing.T) {
+	is := is.New(t)
+	e := newTestEngine(t, 1)
+	e.Gate.Random = func() float64 { return 0 }
+	e.EntryVMs = 2 // One slot for each.
+	choice := &placement.Choice{Host: e.Registry.Hosts("standdesk")[0], Expected: 2 * targetLatency, Known: true, Overloaded: true}
+	refused := func(c *caller, retransmissions uint32) bool {
+		p := &conntrack.Packet{Key: c.Key, SYN: true, Acknowledged: retransmissions}
+		return e.refusal(e.now, p, e.Registry.Route(serviceAddress), choice) != nil
+	}
+	is.True(!refused(e.caller(1), 0)) // No answer has been observed.
+	open := e.caller(2)
+	open.open()
+	for range 3 {
+		open.request(targetLatency)
+	}
+	is.True(!refused(e.caller(3), 0)) // Nothing is in flight.
+	sent := e.caller(5)
+	is.Equal(sent.syn().Action, Forward)
+	is.True(refused(e.caller(3), 0))
+	is.True(!refused(e.caller(3), 1))
+	choice.Overloaded = false
+	is.True(!refused(e.caller(4), 0))
+	choice.Overloaded = true
+	is.True(!refused(sent, 0))
+	e.advance(600 * time.Millisecond)
+	is.Equal(e.Flows.Get(sent.Key), nil) // The flow table has forgotten the SYN.
+	is.True(!refused(sent, 0))
+}
+
 // Guards against the targets of a route receiving shares of flows that differ from their weights or between entry VMs,
 // because the choice must depend only on the flow. A target with a weight of 10% must receive 5% to 15% of 5000 flows.
 func TestTargetSharesFollowWeights(t *testing.T) {
