Bound the SYNs to cold servers over all entry VMs

A service may declare how many requests per second a server bears right after its start. No entry VM sees how many SYNs the others send there, so nothing kept a burst from a server that had just started.

Package coldstart selects a set of entry VMs for each server by a rendezvous hash over the members, each with a fixed share. An entry VM uses no cold server while it sees half of its known members or fewer, and for 3 s after its start or a growth of the members by a quarter. The engine leaves out the cold servers that must not be used and resets new flows with reason cold-limit if no server is left; a retransmitted SYN is dropped instead, because the server that received it before may still open the flow.

Measured in virtual time: 13 cases of wrong, growing, divided and restarted memberships with 3, 58, 124 and 500 entry VMs and rates from 0.5 to 200 stay within rate x 1.5 + 5 in each sliding second. A zone taken back into a burst of 1,500 SYNs/s: 10 SYNs/s for each server at a rate of 10. Without a limit the choices are the same.

--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -13,6 +13,7 @@
 	"github.com/masticspar/masticspar/internal/announce"
 	"github.com/masticspar/masticspar/internal/bootstrap"
 	"github.com/masticspar/masticspar/internal/cleanup"
+	"github.com/masticspar/masticspar/internal/coldstart"
 	"github.com/masticspar/masticspar/internal/counter"
 	"github.com/masticspar/masticspar/internal/dsr"
 	dsrsettings "github.com/masticspar/masticspar/internal/dsr/settings"
@@ -62,11 +63,24 @@
 	configurationVersion uint64
 
 	stateSource netip.AddrPort // the member that announced the latest era of the store
+
+	cold      *coldstart.Limiter
+	unreached map[netip.AddrPort]struct{} // contacts that have not been members yet
 }
 
-func newPeers(s *dsrsettings.Settings, counters *counter.Set, log *zap.Logger, now func() time.Duration) *peers {
+func newPeers(
+	s *dsrsettings.Settings, cold *coldstart.Limiter, counters *counter.Set, log *zap.Logger, now func() time.Duration,
+) *peers {
 	// The agent decides at most twice: to fetch the state, and to read the store after a failure.
-	p := &peers{counters: counters, log: log, now: now, actions: make(chan bootstrap.Action, 2)}
+	p := &peers{
+		counters: counters, log: log, now: now, actions: make(chan bootstrap.Action, 2), cold: cold,
+		unreached: map[netip.AddrPort]struct{}{},
+	}
+	for _, a := range contacts(s) {
+		if a != s.PeerAddress {
+			p.unreached[a] = struct{}{}
+		}
+	}
 	started := time.Now()
 	p.list = member.List{
 		Self: member.Member{
@@ -131,17 +145,34 @@
 	p.log.Info("member-state", zap.String("member", m.Name), zap.Stringer("state", m.State),
 		zap.Uint64("incarnation", m.Incarnation))
 	p.group.SetMembers(p.list.Active())
+	delete(p.unreached, m.Control)
+	if m.State == member.StateLeaving {
+		p.cold.Leave(p.now(), m.Name)
+	}
+	p.setColdMembers(p.now())
 }
 
-// startPeers opens the socket for other entry VMs. It does nothing when the settings have no peer address.
+// setColdMembers passes the active members of all availability zones to the limiter of cold servers.
+func (p *peers) setColdMembers(now time.Duration) {
+	var names []string
+	for _, m := range p.list.Active() {
+		names = append(names, m.Name)
+	}
+	p.cold.Unreached = len(p.unreached)
+	p.cold.SetMembers(now, names)
+}
+
+// startPeers opens the socket for other entry VMs. Without a peer address in the settings there are none.
 func (d *dsrDaemon) startPeers() (func(), error) {
 	s := d.settings
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.engine.Cold.Self = s.Name
 	if !s.PeerAddress.IsValid() {
+		d.engine.Cold.SetMembers(d.timer.Now(), nil)
 		return func() {}, nil
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	p := newPeers(s, d.counters, d.log, d.timer.Now)
+	p := newPeers(s, &d.engine.Cold, d.counters, d.log, d.timer.Now)
 	socket, stop, err := fabric.New(s.PeerAddress, d.counters, d.handlePeerDatagrams)
 	if err != nil {
 		return nil, errors.Annotate(err, "peer-address")
--- a/internal/dsr/engine.go
+++ b/internal/dsr/engine.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/masticspar/masticspar/internal/coldstart"
 	"github.com/masticspar/masticspar/internal/conntrack"
 	"github.com/masticspar/masticspar/internal/flowevent"
 	"github.com/masticspar/masticspar/internal/placement"
@@ -45,8 +46,9 @@
 	ReasonHostRemoved     = "host-removed"
 	ReasonHostSilent      = "host-silent"
 	ReasonHostReplaced    = "host-replaced"
-	ReasonEvacuated       = "evacuated" // SYN of a route whose servers are all in evacuated zones
-	ReasonResuming        = "waking"    // SYN that arrives shortly after a pause of the process
+	ReasonEvacuated       = "evacuated"  // SYN of a route whose servers are all in evacuated zones
+	ReasonColdLimit       = "cold-limit" // SYN of a route whose servers are all cold and must not be used now
+	ReasonResuming        = "waking"     // SYN that arrives shortly after a pause of the process
 )
 
 // Verdict is the decision about a packet.
@@ -68,16 +70,22 @@
 	Registry registry.Registry
 	// Placement chooses the servers of new flows.
 	Placement placement.Model
+	// Cold bounds the SYNs to servers that have just started, for services with a limit.
+	Cold coldstart.Limiter
 	// Flows tracks the flows and reports their events to Placement.
 	Flows conntrack.Table
 
 	attempts map[netip.Addr][]attempt // by caller address, oldest first
 	path     path
+	usable   []*registry.Lifetime // reused by usableHosts
 }
 
 // Start connects Registry, Placement and Flows. It must be called once, after Registry.Changed is set.
 func (e *Engine) Start() {
-	e.Registry.Forgotten = e.Placement.Forget
+	e.Registry.Forgotten = func(token uint32) {
+		e.Placement.Forget(token)
+		e.Cold.Forget(token)
+	}
 	changed := e.Registry.Changed
 	e.Registry.Changed = func(now time.Duration, l *registry.Lifetime, before registry.State) {
 		// A server that is listed again must not stay suspected because of packets that it did not answer before.
@@ -141,20 +149,33 @@
 		}
 		if now-f.SYNSent < retransmitDelay {
 			if l := e.Registry.Lifetime(f.Host); l != nil {
+				rate := e.coldRate(now, l)
+				if rate > 0 && !e.Cold.Allow(now, l.Token, rate) {
+					return Verdict{Reason: ReasonColdLimit} // The server has the SYN already.
+				}
+				e.recordCold(now, l)
 				return Verdict{Action: Forward, Host: l}
 			}
 		}
 		tried = append(append(tried, f.Tried...), f.Host)
 	}
 	service := targetService(r, hash)
-	choice := e.Placement.Pick(now, e.Registry.Hosts(service),
+	hosts := e.Registry.Hosts(service)
+	usable := e.usableHosts(now, service, hosts)
+	choice := e.Placement.Pick(now, usable,
 		placement.Flow{Hash: hash, TargetLatency: r.TargetLatency, Priority: r.Priority, Tried: tried})
 	if choice.Host == nil {
-		if e.Registry.HasEvacuatedHosts(service) {
+		if len(hosts) > 0 {
+			if f != nil { // The server that received the SYN before may still open the flow.
+				return Verdict{Reason: ReasonColdLimit}
+			}
+			choice.Reason = ReasonColdLimit
+		} else if e.Registry.HasEvacuatedHosts(service) {
 			choice.Reason = ReasonEvacuated
 		}
 		return Verdict{Action: Reset, Reason: choice.Reason}
 	}
+	e.recordCold(now, choice.Host)
 	e.Flows.Open(now, p, choice.Host.Token)
 	e.recordAttempt(now, p, choice.Host.Token)
 	return Verdict{Action: Forward, Host: choice.Host, Retried: f != nil}
