Limit the outstanding requests of servers that have just started or come back

A cold server cost 1.6 times as much until its entry's cold time was over, however it answered, and a suspected server got its full load with its first response.

Package pace holds a room for servers that are new, restarted, listed again, back from an evacuation or recovered: prompt answers double it, slow answers, refusals and silence reduce it, and time takes it back to 1. At its limit a server costs the target latency more. The factor 1.6 is removed. The gauge servers-paced and the events pace-started and pace-ended show the paces.

--- a/cmd/masticspard/dsr.go
+++ b/cmd/masticspard/dsr.go
@@ -78,7 +78,7 @@
 	e := &d.engine
 	e.Placement = placement.Model{
 		AvailabilityZone: d.settings.AvailabilityZone, HashOnly: d.settings.Placement == dsrsettings.PlacementHash,
-		SuspicionChanged: d.logSuspicion,
+		SuspicionChanged: d.logSuspicion, PaceChanged: d.logPace,
 	}
 	e.Registry.Changed, e.Registry.OnReplaced = d.logHostState, d.logReplaced
 	e.Registry.EvacuationChanged = d.logEvacuation
--- a/cmd/masticspard/dsr_log.go
+++ b/cmd/masticspard/dsr_log.go
@@ -8,6 +8,7 @@
 	"github.com/masticspar/masticspar/internal/conntrack"
 	"github.com/masticspar/masticspar/internal/dsr"
 	"github.com/masticspar/masticspar/internal/history"
+	"github.com/masticspar/masticspar/internal/pace"
 	"github.com/masticspar/masticspar/internal/registry"
 )
 
@@ -61,6 +62,17 @@
 		zap.Int("outstanding", load.Outstanding), zap.Int("repeats", load.Failures))
 }
 
+// logPace counts and logs that the pace of a server started or ended.
+func (d *dsrDaemon) logPace(_ time.Duration, token uint32, c pace.Change) {
+	event := "pace-ended"
+	if c.Started {
+		event = "pace-started"
+	}
+	d.counters.Add(event, 1)
+	d.log.Info(event, zap.Uint32("token", token), zap.String("reason", c.Reason), zap.Float64("room", c.Room),
+		zap.Duration("duration", c.Duration))
+}
+
 // logFlow logs a decision about a flow and the values that it depends on. Under load most lines are omitted before
 // their fields are built.
 func (d *dsrDaemon) logFlow(now time.Duration, event string, p *conntrack.Packet, v dsr.Verdict) {
@@ -81,6 +93,9 @@
 		fields = append(fields, zap.String("host", v.Host.Name), zap.Stringer("host-state", v.Host.State),
 			zap.Int("outstanding", load.Outstanding), zap.Duration("answer-time", load.ResponseTime),
 			zap.Duration("silence", load.SinceResponse), zap.Int("repeats", load.Failures))
+		if room, reason, limited := d.engine.Placement.PaceStatus(v.Host.Token); limited {
+			fields = append(fields, zap.Float64("room", room), zap.String("pace-reason", reason))
+		}
 	}
 	line.Write(fields...)
 }
--- a/cmd/masticspard/dsr_operator.go
+++ b/cmd/masticspard/dsr_operator.go
@@ -45,6 +45,7 @@
 	for s := registry.StateReady; s <= registry.StateGone; s++ {
 		d.counters.SetGauge("hosts-"+s.String(), states[s])
 	}
+	d.counters.SetGauge("servers-paced", int64(d.engine.Placement.Paced()))
 	d.counters.SetGauge("zones-evacuated", int64(len(d.engine.Registry.EvacuatedZones())))
 	d.counters.SetGauge("picture-age-milliseconds", d.age().Milliseconds())
 	d.counters.SetGauge("flows", int64(d.engine.Flows.Len()))
--- a/internal/dsr/engine.go
+++ b/internal/dsr/engine.go
@@ -78,9 +78,13 @@
 	attempts map[netip.Addr][]attempt // by caller address, oldest first
 	path     path
 	usable   []*registry.Lifetime // reused by usableHosts
+
+	listed   bool               // whether a server was listed
+	listedAt time.Duration      // when the first server was listed
+	ended    *registry.Lifetime // the last lifetime that ended; it may start again under its name
 }
 
-// Start connects Registry, Placement and Flows. It must be called once, after Registry.Changed is set.
+// Start connects Registry, Placement and Flows. It must be called once, after the functions of Registry are set.
 func (e *Engine) Start() {
 	e.Registry.Forgotten = func(token uint32) {
 		e.Placement.Forget(token)
@@ -96,6 +100,7 @@
 			changed(now, l, before)
 		}
 	}
+	e.startPaces()
 	e.Flows.Observe = func(now time.Duration, ev flowevent.Event) {
 		e.path.observe(now, ev)
 		e.Placement.Observe(now, ev)
@@ -226,6 +231,7 @@
 	e.Registry.Sweep(now)
 	e.Flows.Sweep(now)
 	e.expireAttempts(now)
+	e.Placement.Tick(now)
 }
 
 // targetService returns the service of a flow. All entry VMs choose the same service for the same flow.
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -8,4 +8,7 @@
 // A server is suspected after the first handshake that it refuses or the first packet that it does not answer. A
 // suspected server receives a trial flow from time to time until it responds. Servers in other availability zones are
 // used when the cost of waiting in the local zone exceeds that of the longer path.
+//
+// A server that has just started or come back has a limit of outstanding requests, its room in package pace. While the
+// limit is reached, the target latency is added to its cost.
 package placement
--- a/internal/placement/liveness.go
+++ b/internal/placement/liveness.go
@@ -40,8 +40,11 @@
 }
 
 func (m *Model) markAlive(now time.Duration, token uint32, l *load) {
-	if l.suspected() && m.SuspicionChanged != nil {
-		m.SuspicionChanged(now, token, false)
+	if l.suspected() {
+		m.beginPace(now, token, PaceRecovered)
+		if m.SuspicionChanged != nil {
+			m.SuspicionChanged(now, token, false)
+		}
 	}
 	l.clear(now)
 	if l.zone != nil {
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -9,6 +9,7 @@
 // load is the observed state of one server.
 type load struct {
 	zone            *zone           // nil before the first Pick
+	service         string          // empty before the first Pick or BeginPace
 	pending         []time.Duration // start times of handshakes in progress
 	outstanding     int
 	open            int
--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/masticspar/masticspar/internal/flowevent"
+	"github.com/masticspar/masticspar/internal/pace"
 	"github.com/masticspar/masticspar/internal/registry"
 )
 
@@ -24,8 +25,6 @@
 	responseDecay = 3 * time.Second
 	// loadDecay is the time over which the number of outstanding requests is averaged.
 	loadDecay = time.Second
-	// coldFactor is the factor by which a server is assumed to be slower right after its start.
-	coldFactor = 1.6
 	// costJitter is the share of the cost that varies randomly between flows, so that entry VMs do not all choose the
 	// same server.
 	costJitter = 0.1
@@ -49,6 +48,10 @@
 	// Shared returns what other entry VMs observed of a server, and false if nothing recent is known; it may be nil.
 	Shared func(now time.Duration, token uint32) (Shared, bool)
 
+	// PaceChanged is called when the pace of a server starts and ends; it may be nil.
+	PaceChanged func(now time.Duration, token uint32, c pace.Change)
+
+	paces            paces
 	loads            map[uint32]*load
 	zones            map[string]*zone
 	averageResponse  time.Duration // average response time of all servers; 0 before the first response
@@ -95,6 +98,7 @@
 func (m *Model) Observe(now time.Duration, e flowevent.Event) {
 	l := m.load(now, e.Host)
 	l.updateMean(now)
+	m.observePace(now, e, l)
 	switch e.Kind {
 	case flowevent.Opened:
 		l.open++
@@ -132,7 +136,10 @@
 }
 
 // Forget removes the state of a lifetime whose token is no longer in use.
-func (m *Model) Forget(token uint32) { delete(m.loads, token) }
+func (m *Model) Forget(token uint32) {
+	delete(m.loads, token)
+	m.paces.Forget(token)
+}
 
 // Pick returns the server of hosts with the lowest cost for a new flow. A flow to a suspected server is counted as a
 // trial flow.
@@ -143,7 +150,7 @@
 	for _, h := range hosts {
 		l := m.load(now, h.Token)
 		if l.zone == nil {
-			l.zone = m.zone(h.AvailabilityZone)
+			l.zone, l.service = m.zone(h.AvailabilityZone), h.Service
 		}
 		cost := m.cost(now, h, l, f)
 		// An unreachable zone is avoided for trialInterval after its last trial flow, and by flows that were already
@@ -187,14 +194,12 @@
 	}
 	l.updateMean(now)
 	cost := float64(m.expectedResponse(now, l))
-	if now < h.ColdUntil {
-		cost *= coldFactor
-	}
 	cost *= 1 + float64(l.outstanding) + float64(len(l.pending)) + l.meanOutstanding
 	cost *= 1 + costJitter*random
 	if h.AvailabilityZone != m.AvailabilityZone {
 		cost += max(crossZoneShare*float64(f.TargetLatency), float64(minCrossZoneCost))
 	}
+	cost += m.paceCost(now, h, l, &f)
 	if m.handshakeOverdue(now, l) || l.backingOff(now, &f) {
 		cost += unusableCost
 	}
