registry: keep servers of a returned zone cold when an old report arrives

Cause: a report of the same start overwrote the time until which the server is cold after the end of an evacuation. A late report from before the restart therefore removed the bound of SYNs to a server that had just restarted.

Change: Lifetime remembers the end of that time, and reports do not shorten it.

Result: TestServersOfReturnedZoneAreCold applies such a report and requires that the server stays cold.

--- a/internal/registry/deferral.go
+++ b/internal/registry/deferral.go
@@ -78,7 +78,7 @@
 	sequence := max(l.Sequence, h.Sequence)
 	l.Host, l.Removed, l.Replaced = *h, false, false
 	l.Sequence = sequence
-	l.ColdUntil = now + h.Cold
+	l.ColdUntil = max(now+h.Cold, l.returnedUntil)
 	r.claimAddress(now, l)
 	state := StateReady
 	if h.Leaving {
--- a/internal/registry/evacuation.go
+++ b/internal/registry/evacuation.go
@@ -117,7 +117,8 @@
 		}
 		for _, l := range list {
 			if l.AvailabilityZone == zone {
-				l.ColdUntil = max(l.ColdUntil, now+limit.WarmUp)
+				l.returnedUntil = now + limit.WarmUp
+				l.ColdUntil = max(l.ColdUntil, l.returnedUntil)
 			}
 		}
 	}
--- a/internal/registry/evacuation_test.go
+++ b/internal/registry/evacuation_test.go
@@ -124,6 +124,9 @@
 		}
 		for _, l := range r.Hosts("standdesk") {
 			is.Equal(l.ColdUntil, want[l.AvailabilityZone])
+			h := l.Host // A report from before the restart.
+			r.Apply(2*time.Second, Change{Name: h.Name, Revision: 12, Host: &h}, false)
+			is.Equal(l.ColdUntil, max(2*time.Second, want[l.AvailabilityZone]))
 		}
 	}
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -169,7 +169,8 @@
 	// Last is the position of the last change that listed the lifetime.
 	Last history.Position
 
-	listed bool // whether it is in Registry.services
+	listed        bool          // whether it is in Registry.services
+	returnedUntil time.Duration // it is cold until then after the end of an evacuation, whatever its reports tell
 }
 
 // Registry is the current state of the registry. The zero value is empty and ready for use.
