coldstart: update ranks instead of computing them again

Cause: after each change of a member's name, the rank in each cold server was computed again over all members. With 500 members and 518 cold servers (a zone that returns) that took 7.2 ms of processor time for each change, 0.16 s on an entry VM with 0.045 of a core.

Change: a member that is added or removed changes the ranks by one. Resume starts the settle period again after a pause of the process.

--- a/internal/coldstart/limiter.go
+++ b/internal/coldstart/limiter.go
@@ -31,13 +31,12 @@
 	// may be in another part of a divided network. A change takes effect with the next call of SetMembers.
 	Unreached int
 
-	members    map[string]*member
-	generation uint64        // increases with each change of the names in members
-	quorum     bool          // whether more than half of the members and of the entry VMs not reached are active
-	settled    time.Duration // end of the settle period
-	reference  int           // number of members at the start of the settle period or the smallest number since
-	expiry     time.Duration // when the next member may be removed
-	servers    map[uint32]*server
+	members   map[string]*member
+	quorum    bool          // whether more than half of the members and of the entry VMs not reached are active
+	settled   time.Duration // end of the settle period
+	reference int           // number of members at the start of the settle period or the smallest number since
+	expiry    time.Duration // when the next member may be removed
+	servers   map[uint32]*server
 }
 
 // member is an entry VM that is active or was recently.
@@ -50,10 +49,10 @@
 
 // server is the state of one cold server.
 type server struct {
-	sent       []time.Duration // times of the SYNs of the last period, oldest first
-	period     time.Duration   // in which the SYNs are counted
-	generation uint64          // of the members for which rank is valid
-	rank       int             // position of this entry VM in the order of the server
+	sent   []time.Duration // times of the SYNs of the last period, oldest first
+	period time.Duration   // in which the SYNs are counted
+	score  uint64          // of this entry VM
+	rank   int             // number of members with a greater score
 }
 
 // SetMembers sets the active entry VMs of all availability zones, including this one.
@@ -72,7 +71,7 @@
 		if m == nil {
 			m = &member{hash: xxhash.Sum64String(name)}
 			l.members[name] = m
-			l.generation++
+			l.shiftRanks(m, 1)
 		}
 		m.active, m.left = true, false
 	}
@@ -93,6 +92,9 @@
 	l.update(now)
 }
 
+// Resume must be called after a pause of the process. The members may have changed meanwhile.
+func (l *Limiter) Resume(now time.Duration) { l.settled = max(l.settled, now+settlePeriod) }
+
 // update applies the rules about the members after a change or the end of a retention period.
 func (l *Limiter) update(now time.Duration) {
 	active, counted := 0, l.Unreached
@@ -121,7 +123,7 @@
 		case m.active || !quorum && !m.left:
 		case now-m.since >= retention:
 			delete(l.members, name)
-			l.generation++
+			l.shiftRanks(m, -1)
 		default:
 			l.expiry = min(l.expiry, m.since+retention)
 		}
@@ -145,9 +147,6 @@
 		return false
 	}
 	s := l.server(token)
-	if s.generation != l.generation {
-		s.rank, s.generation = l.rank(token), l.generation
-	}
 	selected := int(min(max(rate, 1), float64(len(l.members))))
 	if s.rank >= selected {
 		return false
@@ -179,21 +178,24 @@
 func (l *Limiter) server(token uint32) *server {
 	s := l.servers[token]
 	if s == nil {
-		s = &server{period: window}
+		s = &server{period: window, score: score(token, l.members[l.Self].hash)}
+		for _, m := range l.members {
+			if score(token, m.hash) > s.score {
+				s.rank++
+			}
+		}
 		l.servers[token] = s
 	}
 	return s
 }
 
-// rank returns the position of this entry VM in the order of the members for a server.
-func (l *Limiter) rank(token uint32) (rank int) {
-	self := score(token, l.members[l.Self].hash)
-	for _, m := range l.members {
-		if score(token, m.hash) > self {
-			rank++
+// shiftRanks adds n to the ranks of the servers for which a member has a greater score than this entry VM.
+func (l *Limiter) shiftRanks(m *member, n int) {
+	for token, s := range l.servers {
+		if score(token, m.hash) > s.score {
+			s.rank += n
 		}
 	}
-	return rank
 }
 
 // score returns the rendezvous score of a member for a server.
