masticspard: let the limiter of cold servers wait after a pause

Cause: after a pause of the process, the limiter used members that could be minutes old until the member list was corrected.

Change: a pause starts the settle period again, in which no cold server is used.

Result: not measured. TestDSRSharesColdServers passes.

--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -197,6 +197,7 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		p.list.Resume(now)
+		p.cold.Resume(now)
 	}))
 	stopSnapshots, err := snapshot.Serve(s.PeerAddress, snapshot.Source{Snapshot: d.snapshot, Configuration: d.configuration})
 	if err != nil {
