pace, registry: use plain names for states of a server

Cause: calm, trouble, relapses and chillZone are figurative.

Change: they are stable, reductions, recentFailures and markZoneCold.

Result: no change of behaviour; the tests of both packages pass.

--- a/internal/pace/model.go
+++ b/internal/pace/model.go
@@ -22,19 +22,19 @@
 	// The room doubles in minRecovery after the start, and in twice the time after each reduction, up to maxRecovery.
 	minRecovery, maxRecovery = time.Second, 8 * time.Second
 	maxDoublings             = 10
-	// calmPeriod is how long a server must be without slow answers and failures until its pace ends. The period is longer
-	// for a server that was in trouble for more than calmFactor times this period.
-	calmPeriod = 5 * time.Second
-	calmFactor = 2
+	// stablePeriod is how long a server must be without slow answers and failures until its pace ends. The period is longer
+	// for a server whose reductions lasted for more than stableFactor times this period.
+	stablePeriod = 5 * time.Second
+	stableFactor = 2
 	// minPrompt is the number of prompt answers after the last reduction without which a pace does not end before
 	// maxDuration.
 	minPrompt = 4
 	// maxDuration is how long slow answers alone keep the pace. The usual response time may be wrong.
 	maxDuration = 2 * time.Minute
-	// relapsePeriod is the time after a failure within which further failures count as relapses.
-	relapsePeriod = 30 * time.Second
-	// maxRelapses is the number of relapses that reduce the room at the next Begin.
-	maxRelapses = 3
+	// failureWindow is the time after a failure within which further failures count as recent.
+	failureWindow = 30 * time.Second
+	// maxRecentFailures is the number of recent failures that reduce the room at the next Begin.
+	maxRecentFailures = 3
 	// historySamples is the number of recent answers that the usual response time of a server covers.
 	historySamples = 32
 )
@@ -61,35 +61,35 @@
 }
 
 type server struct {
-	limited  bool
-	reason   string
-	began    time.Duration
-	room     float64       // at the time changed
-	changed  time.Duration // last change of room
-	reduced  time.Duration // last reduction, or began
-	held     time.Duration // the room does not grow with time alone before
-	failed   time.Duration // last failure
-	prompt   int           // prompt answers since the last reduction
-	troubles int           // reductions since Begin
-	relapses int           // failures after the first one, each within relapsePeriod of the one before
-	failures bool          // whether there was a failure
-	usual    time.Duration // average response time without a limit; 0 before the first answer
-	recovery time.Duration // time in which the room doubles
+	limited        bool
+	reason         string
+	began          time.Duration
+	room           float64       // at the time changed
+	changed        time.Duration // last change of room
+	reduced        time.Duration // last reduction, or began
+	held           time.Duration // the room does not grow with time alone before
+	failed         time.Duration // last failure
+	prompt         int           // prompt answers since the last reduction
+	reductions     int           // reductions since Begin
+	recentFailures int           // failures after the first one, each within failureWindow of the one before
+	failures       bool          // whether there was a failure
+	usual          time.Duration // average response time without a limit; 0 before the first answer
+	recovery       time.Duration // time in which the room doubles
 }
 
 // Begin starts the pace of a server, or takes the room of a server whose pace has not ended back to that of a start.
 func (m *Model) Begin(now time.Duration, token uint32, reason string) {
 	s := m.server(token)
 	room := initialRoom
-	if s.failures && now-s.failed < relapsePeriod {
-		room = max(minRoom, initialRoom/float64(int(1)<<min(s.relapses, maxRelapses)))
+	if s.failures && now-s.failed < failureWindow {
+		room = max(minRoom, initialRoom/float64(int(1)<<min(s.recentFailures, maxRecentFailures)))
 	}
 	if s.limited {
 		s.setRoom(now, min(s.at(now), room))
 		s.reason, s.recovery = reason, s.doubling(now)
 		return
 	}
-	s.limited, s.reason, s.began, s.reduced, s.prompt, s.troubles = true, reason, now, now, 0, 0
+	s.limited, s.reason, s.began, s.reduced, s.prompt, s.reductions = true, reason, now, now, 0, 0
 	s.recovery = s.doubling(now)
 	s.setRoom(now, room)
 	m.limited++
@@ -118,10 +118,10 @@
 			return // The packet was sent before the reduction.
 		}
 		switch {
-		case !s.failures || now-s.failed >= relapsePeriod:
-			s.relapses = 0
+		case !s.failures || now-s.failed >= failureWindow:
+			s.recentFailures = 0
 		case now-e.Elapsed >= s.failed:
-			s.relapses++
+			s.recentFailures++
 		}
 		s.failures, s.failed = true, now
 		if s.limited {
@@ -155,16 +155,16 @@
 	s.setRoom(now, max(minRoom, min(1, s.at(now))*factor))
 	s.reduced, s.prompt = now, 0
 	if now >= s.held {
-		s.troubles++
+		s.reductions++
 	}
 	s.recovery = s.doubling(now)
 }
 
 // doubling returns the time in which the room doubles.
 func (s *server) doubling(now time.Duration) time.Duration {
-	n := s.troubles
-	if s.failures && now-s.failed < relapsePeriod {
-		n = max(n, s.relapses)
+	n := s.reductions
+	if s.failures && now-s.failed < failureWindow {
+		n = max(n, s.recentFailures)
 	}
 	return min(minRecovery<<min(n, maxDoublings), maxRecovery)
 }
@@ -186,11 +186,11 @@
 	return min(1, room*math.Exp2(float64(now-since)/float64(s.recovery)))
 }
 
-// end ends the pace of a server that has been without trouble for long enough.
+// end ends the pace of a server that has been without reductions for long enough.
 func (m *Model) end(now time.Duration, token uint32, s *server) {
-	calm := max(calmPeriod, (s.reduced-s.began)/calmFactor)
-	expired := now-max(s.began, s.held) >= maxDuration && (!s.failures || now-s.failed >= relapsePeriod)
-	if !s.limited || !expired && (now-s.reduced < calm || s.prompt < minPrompt || s.at(now) < 1) {
+	stable := max(stablePeriod, (s.reduced-s.began)/stableFactor)
+	expired := now-max(s.began, s.held) >= maxDuration && (!s.failures || now-s.failed >= failureWindow)
+	if !s.limited || !expired && (now-s.reduced < stable || s.prompt < minPrompt || s.at(now) < 1) {
 		return
 	}
 	s.limited = false
--- a/internal/pace/model_test.go
+++ b/internal/pace/model_test.go
@@ -47,11 +47,11 @@
 	_, reason, limited := m.Status(1)
 	is.True(limited)
 	is.Equal(reason, "new")
-	is.Equal(m.Room(calmPeriod, 1), math.Inf(1))
+	is.Equal(m.Room(stablePeriod, 1), math.Inf(1))
 	is.Equal(len(changes), 2)
 	is.True(changes[0].Started)
 	is.Equal(changes[1].Reason, "new")
-	is.Equal(changes[1].Duration, calmPeriod)
+	is.Equal(changes[1].Duration, stablePeriod)
 	is.Equal(m.Len(), 0)
 }
 
@@ -104,7 +104,7 @@
 }
 
 // Guards against a flapping server that gets the room of a new one each time it comes back.
-func TestRelapsesReduceRoom(t *testing.T) {
+func TestRecentFailuresReduceRoom(t *testing.T) {
 	is := is.New(t)
 	m := Model{}
 	now, rooms := time.Duration(0), []float64{}
@@ -120,7 +120,7 @@
 	is.True(rooms[3] <= rooms[1])
 	m.Forget(1)
 	is.Equal(m.Len(), 0)
-	now += relapsePeriod
+	now += failureWindow
 	m.Begin(now, 1, "recovered")
 	is.Equal(m.Room(now, 1), initialRoom)
 }
--- a/internal/registry/evacuation.go
+++ b/internal/registry/evacuation.go
@@ -99,7 +99,7 @@
 	z.active, z.lapsed = active, false
 	r.available = nil
 	if !active {
-		r.chillZone(now, zone)
+		r.markZoneCold(now, zone)
 	}
 	if r.EvacuationChanged != nil {
 		r.EvacuationChanged(now, zone, active)
@@ -107,9 +107,9 @@
 	return true
 }
 
-// chillZone treats the servers of a zone that is taken back as cold. They may have been restarted shortly before, and
+// markZoneCold treats the servers of a zone that is taken back as cold. They may have been restarted shortly before, and
 // the reports of their restarts may be late.
-func (r *Registry) chillZone(now time.Duration, zone string) {
+func (r *Registry) markZoneCold(now time.Duration, zone string) {
 	for service, list := range r.services {
 		limit := r.config.ColdLimit(service)
 		if limit.Rate == 0 {
