coldstart, dsr: shorten the tests and cover the ranks

Cause: the tests of cold servers were longer than the code, and no test failed when a removed member kept its place in the ranks.

Change: the fleet of dsr sends retransmissions without a queue of its own, and coldstart has a test of the ranks after changes of the members, and of Resume.

Result: TestRanksFollowMembers fails without either update of the ranks.

--- a/internal/coldstart/limiter_test.go
+++ b/internal/coldstart/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -48,6 +49,8 @@
 	return v
 }
 
+func all(*entryVM) bool { return true }
+
 // see sets the members of an entry VM to itself and those for which seen returns true.
 func (c *cluster) see(v *entryVM, seen func(other *entryVM) bool, more ...string) {
 	names := more
@@ -64,7 +67,7 @@
 
 func (c *cluster) seeAll() {
 	for _, v := range c.vms {
-		c.see(v, func(*entryVM) bool { return true })
+		c.see(v, all)
 	}
 }
 
@@ -94,19 +97,12 @@
 	c.peak[token] = max(c.peak[token], len(c.sent[token])-c.start[token])
 }
 
-// wait advances the time without SYNs.
-func (c *cluster) wait(d time.Duration) { c.now += d }
-
 // checkShare fails if the servers received less than the given share of their rates since a point in time.
 func (c *cluster) checkShare(since time.Duration, share float64) {
 	c.t.Helper()
 	for token, rate := range rates {
-		n := 0
-		for _, at := range c.sent[token] {
-			if at >= since {
-				n++
-			}
-		}
+		i, _ := slices.BinarySearch(c.sent[token], since)
+		n := len(c.sent[token]) - i
 		if want := share * rate * (c.now - since).Seconds(); float64(n) < want {
 			c.t.Errorf("rate %g: %d SYNs in %v, want at least %.0f", rate, n, c.now-since, want)
 		}
@@ -149,7 +145,7 @@
 			c.see(v, func(*entryVM) bool { return c.random.IntN(10) > 0 })
 			for i, o := range c.vms { // Each learns of the others up to 1 s late.
 				if i%10 == int(c.now/(100*time.Millisecond))%10 {
-					c.see(o, func(*entryVM) bool { return true })
+					c.see(o, all)
 				}
 			}
 		})
@@ -164,7 +160,7 @@
 		}
 		for range 4 {
 			c.run(5*time.Second, nil)
-			c.wait(time.Minute)
+			c.now += time.Minute
 		}
 		c.seeAll()
 		c.run(8*time.Second, nil)
@@ -190,7 +186,7 @@
 			}
 		}
 		c.run(2*time.Second, nil)
-		c.wait(2 * time.Minute)
+		c.now += 2 * time.Minute
 		c.run(2*time.Second, nil)
 		for _, v := range c.vms {
 			v.paused = false
@@ -201,7 +197,7 @@
 	}},
 	{"all are paused and resume", func(c *cluster) {
 		c.run(5*time.Second, nil)
-		c.wait(5 * time.Minute)
+		c.now += 5 * time.Minute
 		c.run(5*time.Second, nil)
 	}},
 	{"each zone sees only itself, then all see each other within 1 s", func(c *cluster) {
@@ -252,13 +248,13 @@
 			c.see(v, func(o *entryVM) bool { return sees(v, o) })
 		}
 		c.run(3*time.Second, nil)
-		c.wait(time.Minute)
+		c.now += time.Minute
 	}
 	c.run(2*time.Second, nil)
 	i := 0
 	c.run(time.Second, func() {
 		for ; i < len(c.vms)*int(c.now/(100*time.Millisecond)%10+1)/10; i++ {
-			c.see(c.vms[i], func(*entryVM) bool { return true })
+			c.see(c.vms[i], all)
 		}
 	})
 	c.seeAll()
@@ -297,6 +293,9 @@
 	is.True(!l.Allow(settlePeriod-1, 1, 10))
 	is.True(l.Allow(settlePeriod, 1, 10))
 	is.True(!l.Allow(settlePeriod, 1, 0))
+	l.Resume(time.Minute) // Others may have started during the pause.
+	is.True(!l.Allow(time.Minute, 1, 10))
+	is.True(l.Allow(time.Minute+settlePeriod, 1, 10))
 }
 
 // Guards against cold servers without SYNs after most entry VMs were taken out of service in an orderly way.
@@ -311,3 +310,24 @@
 	l.SetMembers(time.Minute, nil) // b is cut off or has failed.
 	is.True(!l.Allow(time.Hour, 1, 1e9))
 }
+
+// Guards against selected entry VMs that differ between those that started before and after members changed.
+func TestRanksFollowMembers(t *testing.T) {
+	is := is.New(t)
+	former, later := Limiter{Self: "a"}, Limiter{Self: "a"}
+	now := []string{"b", "c", "d", "e", "i"}
+	former.SetMembers(0, []string{"b", "c", "d", "e", "f", "g", "h"})
+	for token := range uint32(100) {
+		former.Allow(time.Minute, token, 2)
+	}
+	former.SetMembers(time.Minute, now)
+	later.SetMembers(time.Minute, now)
+	allowed := 0
+	for token := range uint32(100) {
+		is.Equal(former.Allow(time.Hour, token, 2), later.Allow(time.Hour, token, 2))
+		if later.Allow(time.Hour, token, 2) {
+			allowed++
+		}
+	}
+	is.True(allowed > 0 && allowed < 100)
+}
--- a/internal/dsr/cold_test.go
+++ b/internal/dsr/cold_test.go
@@ -58,25 +58,17 @@
 	return f
 }
 
-// burst sends SYNs for a duration: those of new flows at a rate, and two retransmissions of each flow that gets no
-// answer, one of them early because it was queued.
+// burst sends SYNs for a duration at a rate. A third of them are retransmissions of flows without an answer, early ones
+// that were queued included.
 func (f *fleet) burst(d time.Duration, perSecond int) {
-	type retry struct {
-		*caller
-		at time.Duration
-	}
-	var retries []retry
+	var recent []*caller
 	at := f.vms[0].now
 	for range int(d.Seconds() * float64(perSecond)) {
 		at += time.Second / time.Duration(perSecond)
-		for len(retries) > 0 && retries[0].at <= at {
-			f.syn(retries[0].caller, retries[0].at)
-			retries = retries[1:]
-		}
-		c := f.vms[f.random.IntN(len(f.vms))].caller(byte(f.random.IntN(200)))
-		if f.syn(c, at) && f.random.IntN(2) == 0 {
-			retries = append(retries, retry{c, at + 40*time.Millisecond}, retry{c, at + 250*time.Millisecond})
-			slices.SortStableFunc(retries, func(a, b retry) int { return int(a.at - b.at) })
+		if n := min(len(recent), 300); n > 0 && f.random.IntN(3) == 0 {
+			f.syn(recent[len(recent)-1-f.random.IntN(n)], at)
+		} else if c := f.vms[f.random.IntN(len(f.vms))].caller(byte(f.random.IntN(200))); f.syn(c, at) {
+			recent = append(recent, c)
 		}
 	}
 	for _, e := range f.vms {
@@ -113,7 +105,7 @@
 }
 
 // Guards against more SYNs than a cold server bears when a zone is taken back from its evacuation into a burst, with
-// restarted servers, and also against none. Half of the flows retransmit their SYNs.
+// restarted servers, and also against none.
 func TestReturnedZoneGetsBoundedSYNs(t *testing.T) {
 	for seed := range uint64(3) {
 		is := is.New(t)
