--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -222,7 +222,7 @@
 		return nil
 	}
 	return &snapshot.Snapshot{
-		Era: at.Era, Revision: at.Revision, Servers: r.Changes(), Configuration: r.Configuration(),
+		Era: at.Era, Revision: at.Revision, Servers: r.Changes(d.timer.Now()), Configuration: r.Configuration(),
 		Evacuations: r.Evacuations(), Confirmed: consistent, Age: age,
 	}
 }
--- a/cmd/masticspard/dsr_test.go
+++ b/cmd/masticspard/dsr_test.go
@@ -632,7 +632,7 @@
 	}
 	s.waitFor("two servers", func() bool { return hosts() == 2 })
 	d.mu.Lock()
-	changes := slices.DeleteFunc(d.engine.Registry.Changes(), func(c registry.Change) bool { return c.Name == "i-2" })
+	changes := slices.DeleteFunc(d.engine.Registry.Changes(d.timer.Now()), func(c registry.Change) bool { return c.Name == "i-2" })
 	d.mu.Unlock()
 	later := d.replica.Position()
 	later.Revision += 5
--- a/internal/registry/evacuation_test.go
+++ b/internal/registry/evacuation_test.go
@@ -81,7 +81,7 @@
 	r.Replace(0, append(servers, evacuated("b", true, 0, 15)), history.Position{Revision: 20}, false)
 	is.Equal(r.EvacuatedZones(), []string{"b"})
 	fresh := &Registry{}
-	fresh.Replace(0, append(r.Evacuations(), r.Changes()...), history.Position{Revision: 20}, false)
+	fresh.Replace(0, append(r.Evacuations(), r.Changes(0)...), history.Position{Revision: 20}, false)
 	is.Equal(fresh.EvacuatedZones(), []string{"b"})
 }
 
@@ -128,5 +128,10 @@
 			r.Apply(2*time.Second, Change{Name: h.Name, Revision: 12, Host: &h}, false)
 			is.Equal(l.ColdUntil, max(2*time.Second, want[l.AvailabilityZone]))
 		}
+		var started Registry // Of an entry VM that starts with this state.
+		started.Replace(2*time.Second, append(r.Changes(2*time.Second), Change{Configuration: c}), history.Position{}, true)
+		for _, l := range started.Hosts("standdesk") {
+			is.Equal(l.ColdUntil, max(2*time.Second, want[l.AvailabilityZone]))
+		}
 	}
 }
--- a/internal/registry/late_test.go
+++ b/internal/registry/late_test.go
@@ -174,7 +174,7 @@
 		r.Apply(0, listed(former, 1), false)
 		r.Apply(0, Change{Name: "i-1", Host: live, Revision: 2, Created: 1}, false)
 		is.Equal(names(&r), []string{})
-		fresh.Replace(0, r.Changes(), history.Position{Revision: 2}, true)
+		fresh.Replace(0, r.Changes(0), history.Position{Revision: 2}, true)
 		is.Equal(names(&fresh), []string{})
 		fresh.Sweep(deferPeriod)
 		is.Equal(len(names(&fresh)) == 1, !leaving)
@@ -418,7 +418,7 @@
 		},
 		"start entry VM from snapshot": func(*rapid.T) {
 			vms[0], left[0] = &Registry{}, map[uint32]bool{}
-			vms[0].Replace(m.now, vms[1].Changes(), m.position(), true)
+			vms[0].Replace(m.now, vms[1].Changes(m.now), m.position(), true)
 			for token := range left[1] {
 				if l := vms[1].Lifetime(token); l != nil && l.State == StateLeaving {
 					left[0][token] = true
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -224,12 +224,13 @@
 func (r *Registry) Configuration() Configuration { return r.config }
 
 // Changes returns the listed servers as changes. A server whose last report may be outdated has two, of which the later
-// one in the list is that report.
-func (r *Registry) Changes() []Change {
+// one in the list is that report. Cold times are those that remain.
+func (r *Registry) Changes(now time.Duration) []Change {
 	var list []Change
 	for name, l := range r.names {
 		if l.State == StateReady || l.State == StateLeaving && l.Leaving {
 			h := l.Host
+			h.Cold = max(0, l.ColdUntil-now)
 			at := r.positions[name]
 			list = append(list, Change{Name: name, Era: at.Era, Revision: at.Revision, Created: l.First.Revision, Host: &h})
 		}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -286,7 +286,7 @@
 	r.Apply(0, listed(host("i-1", 1, addressA), 1), false)
 	configuration := r.Configuration()
 	fresh.Apply(0, Change{Configuration: &configuration}, false)
-	fresh.Replace(0, r.Changes(), history.Position{Revision: 1}, true)
+	fresh.Replace(0, r.Changes(0), history.Position{Revision: 1}, true)
 	is.Equal(names(&fresh), []string{})
 	fresh.Apply(0, Change{Configuration: &Configuration{Version: 2, Services: []string{"photointake", "standdesk"}}}, false)
 	is.Equal(names(&fresh), []string{"i-1"})
@@ -487,7 +487,7 @@
 	r.Apply(0, in(1, listed(host("i-1", 1, addressA), 8)), false)
 	next := in(2, listed(host("i-2", 2, addressA), 7))
 	r.Replace(time.Second, []Change{next}, history.Position{Era: 2, Revision: 7}, true)
-	snapshot := r.Changes()
+	snapshot := r.Changes(0)
 	is.Equal(len(snapshot), 1) // Other entry VMs get the new server, too.
 	r.Sweep(time.Second + DefaultGracePeriod)
 	is.Equal(names(&r), []string{"i-2"})
