--- a/internal/pace/model.go
+++ b/internal/pace/model.go
@@ -22,8 +22,8 @@
 	// The room doubles in minRecovery after the start, and in twice the time after each reduction, up to maxRecovery.
 	minRecovery, maxRecovery = time.Second, 8 * time.Second
 	maxDoublings             = 10
-	// stablePeriod is how long a server must be without slow answers and failures until its pace ends. The period is longer
-	// for a server whose reductions lasted for more than stableFactor times this period.
+	// stablePeriod is how long a server must be without slow answers and failures until its pace ends. The period is
+	// longer for a server whose reductions lasted for more than stableFactor times this period.
 	stablePeriod = 5 * time.Second
 	stableFactor = 2
 	// minPrompt is the number of prompt answers after the last reduction without which a pace does not end before
--- a/internal/placement/pace_test.go
+++ b/internal/placement/pace_test.go
@@ -62,7 +62,8 @@
 	var now time.Duration
 	var queue []paceEvent // in the order of time
 	after := func(d time.Duration, f func()) {
-		i, _ := slices.BinarySearchFunc(queue, now+d, func(e paceEvent, at time.Duration) int { return cmp.Compare(e.at, at) })
+		compare := func(e paceEvent, at time.Duration) int { return cmp.Compare(e.at, at) }
+		i, _ := slices.BinarySearchFunc(queue, now+d, compare)
 		queue = slices.Insert(queue, i, paceEvent{now + d, f})
 	}
 	isFresh := func(i int) bool { return i >= c.servers-c.fresh }
