--- a/internal/dsr/engine.go
+++ b/internal/dsr/engine.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/masticspar/masticspar/internal/coldstart"
 	"github.com/masticspar/masticspar/internal/conntrack"
 	"github.com/masticspar/masticspar/internal/flowevent"
 	"github.com/masticspar/masticspar/internal/overload"
@@ -50,8 +51,9 @@
 	ReasonHostRemoved     = "host-removed"
 	ReasonHostSilent      = "host-silent"
 	ReasonHostReplaced    = "host-replaced"
-	ReasonEvacuated       = "evacuated" // SYN of a route whose servers are all in evacuated zones
-	ReasonResuming        = "waking"    // SYN that arrives shortly after a pause of the process
+	ReasonEvacuated       = "evacuated"  // SYN of a route whose servers are all in evacuated zones
+	ReasonColdLimit       = "cold-limit" // SYN of a route whose servers are all cold and must not be used now
+	ReasonResuming        = "waking"     // SYN that arrives shortly after a pause of the process
 )
 
 // Verdict is the decision about a packet.
@@ -84,6 +86,8 @@
 	Placement placement.Model
 	// Gate refuses new flows of an overloaded service.
 	Gate overload.Gate
+	// Cold bounds the SYNs to servers that have just started, for services with a limit.
+	Cold coldstart.Limiter
 	// Flows tracks the flows and reports their events to Placement and Gate.
 	Flows conntrack.Table
 
@@ -95,11 +99,19 @@
 	caller   callerRoute                        // of the packet that is handled
 	classes  map[netip.AddrPort]conntrack.Class // by address of the route
 	path     path
+	usable   []*registry.Lifetime // reused by usableHosts
+
+	listed   bool               // whether a server was listed
+	listedAt time.Duration      // when the first server was listed
+	ended    *registry.Lifetime // the last lifetime that ended; it may start again under its name
 }
 
-// Start connects Registry, Placement and Flows. It must be called once, after Registry.Changed is set.
+// Start connects Registry, Placement and Flows. It must be called once, after the functions of Registry are set.
 func (e *Engine) Start() {
-	e.Registry.Forgotten = e.Placement.Forget
+	e.Registry.Forgotten = func(token uint32) {
+		e.Placement.Forget(token)
+		e.Cold.Forget(token)
+	}
 	changed := e.Registry.Changed
 	e.Registry.Changed = func(now time.Duration, l *registry.Lifetime, before registry.State) {
 		// A server that is listed again must not stay suspected because of packets that it did not answer before.
@@ -110,6 +122,7 @@
 			changed(now, l, before)
 		}
 	}
+	e.startPaces()
 	e.Flows.Observe = func(now time.Duration, ev flowevent.Event) {
 		e.path.observe(now, ev)
 		e.Placement.Observe(now, ev)
@@ -174,6 +187,11 @@
 		}
 		if now-f.SYNSent < retransmitDelay {
 			if l := e.Registry.Lifetime(f.Host); l != nil {
+				rate := e.coldRate(now, l)
+				if rate > 0 && !e.Cold.Allow(now, l.Token, rate) {
+					return Verdict{Reason: ReasonColdLimit} // The server has the SYN already.
+				}
+				e.recordCold(now, l)
 				return Verdict{Action: Forward, Host: l}
 			}
 		}
@@ -184,10 +202,17 @@
 		tried = e.observeRetry(now, r, tried)
 	}
 	service = e.retriedService(r, service, tried)
-	choice := e.Placement.Pick(now, e.Registry.Hosts(service),
+	hosts := e.Registry.Hosts(service)
+	usable := e.usableHosts(now, service, hosts)
+	choice := e.Placement.Pick(now, usable,
 		placement.Flow{Hash: hash, TargetLatency: r.TargetLatency, Urgent: e.classes[p.Service].Urgent, Tried: tried})
 	if choice.Host == nil {
-		if e.Registry.HasEvacuatedHosts(service) {
+		if len(hosts) > 0 {
+			if f != nil { // The server that received the SYN before may still open the flow.
+				return Verdict{Reason: ReasonColdLimit}
+			}
+			choice.Reason = ReasonColdLimit
+		} else if e.Registry.HasEvacuatedHosts(service) {
 			choice.Reason = ReasonEvacuated
 		}
 		return Verdict{Action: Reset, Reason: choice.Reason}
@@ -195,6 +220,7 @@
 	if refusal := e.refusal(now, p, r, &choice); refusal != nil {
 		return Verdict{Action: Reset, Reason: overload.ReasonOverload, Overload: refusal}
 	}
+	e.recordCold(now, choice.Host)
 	e.Flows.Open(now, p, choice.Host.Token)
 	e.recordAttempt(now, p, choice.Host.Token)
 	return Verdict{Action: Forward, Host: choice.Host, Retried: f != nil}
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -11,4 +11,7 @@
 //
 // While a service is overloaded, a server is chosen at random, weighted by its cost, and a part of the servers is kept
 // for urgent routes. The cost then includes what other entry VMs reported.
+//
+// A server that has just started or come back has a limit of outstanding requests, its room in package pace. While the
+// limit is reached, the target latency is added to its cost.
 package placement
--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -224,8 +224,9 @@
 	shared.Failures *= trust
 }
 
-// Tick evaluates the load of all services. It is called about every 100 ms; otherwise Pick evaluates its own service.
+// Tick ends the paces of servers that receive no requests and evaluates the load of all services. It is called about every 100 ms; otherwise Pick evaluates its own service.
 func (m *Model) Tick(now time.Duration) {
+	m.paces.Tick(now)
 	for _, s := range m.services {
 		m.evaluate(now, s)
 	}
--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -57,9 +57,10 @@
 	own := float64(l.outstanding+len(l.pending)) + l.meanOutstanding
 	// Response times include the queue, so its length counts less than in proportion.
 	cost := t / target * (1 + own) * math.Sqrt(1+l.shared.Outstanding/float64(max(h.Slots, 1))) * (1 + l.shared.Failures)
-	if now < h.ColdUntil {
+	if now < h.ColdUntil && !l.responded {
 		cost *= coldFactor
 	}
+	cost += m.paceCost(now, h, l, f) / target
 	if h.AvailabilityZone != m.AvailabilityZone {
 		cost += float64(minCrossZoneCost) / target
 		// Load reports stay within a zone, so the queues of most servers of other zones are unknown.
