Hold SYNs of an entry VM that cannot get the changes that others announce

Ruled out: reporting such a VM as not ready; the routers need two missed calls, and move nearly all flows of the zone. Change: from 0.9 of the bound on, SYNs are held (0.5 s at most) while changes are missing that others announced in the last second. Without such announcements, as in an outage of the store, flows are opened with the last state as before.

--- a/cmd/masticspard/dsr_openings.go
+++ b/cmd/masticspard/dsr_openings.go
@@ -13,6 +13,13 @@
 // be leaving is logged. Such a packet may have been close to the bound.
 const lateShare = 0.5
 
+// outdatedShare is the age of the state, as a share of the bound, from which SYNs are held while changes are missing that
+// others have announced: a server could be leaving, its zone evacuated or its route removed.
+const outdatedShare = 0.9
+
+// announcementTimeout is how long an announcement shows that others have newer state. They repeat it every 0.5 s.
+const announcementTimeout = time.Second
+
 // openings remembers what is needed to trace an opening packet that reached a leaving server.
 type openings struct {
 	last         map[uint32]time.Duration // time of the last SYN that was forwarded to the server of a token
@@ -33,6 +40,16 @@
 	o.last[token] = now
 }
 
+// outdated reports whether this entry VM must not open flows, because it is about to exceed the bound of the state with
+// changes missing that others have. While the store is down for all, nobody announces anything newer, and flows are
+// opened with the last state.
+func (d *dsrDaemon) outdated(now time.Duration) bool {
+	a := &d.openings.announcement
+	return d.replica != nil && a.source != "" && now-a.at < announcementTimeout &&
+		a.position.Compare(d.replica.Position()) > 0 &&
+		float64(d.age()) >= outdatedShare*float64(d.settings.Bound())
+}
+
 // logLateOpening logs an opening packet that was forwarded to a server shortly before this entry VM learned that the
 // server is leaving or gone. The age of the state bounds how long ago the store acknowledged the change.
 func (d *dsrDaemon) logLateOpening(now time.Duration, l *registry.Lifetime) {
--- a/cmd/masticspard/dsr_packets.go
+++ b/cmd/masticspard/dsr_packets.go
@@ -32,7 +32,11 @@
 		return
 	}
 	v := dsr.Verdict{Reason: dsr.ReasonResuming}
-	if !p.SYN || now >= d.resumeAt {
+	switch {
+	case p.SYN && now < d.resumeAt:
+	case p.SYN && d.outdated(now):
+		v = dsr.Verdict{Action: dsr.Hold, Reason: dsr.ReasonOutdated}
+	default:
 		v = d.engine.HandlePacket(now, &p)
 	}
 	switch v.Action {
--- a/internal/dsr/engine.go
+++ b/internal/dsr/engine.go
@@ -51,6 +51,7 @@
 	ReasonHostRemoved     = "host-removed"
 	ReasonHostSilent      = "host-silent"
 	ReasonHostReplaced    = "host-replaced"
+	ReasonOutdated        = "outdated"   // SYN while this entry VM lacks changes that others have, near the end of the bound
 	ReasonEvacuated       = "evacuated"  // SYN of a route whose servers are all in evacuated zones
 	ReasonColdLimit       = "cold-limit" // SYN of a route whose servers are all cold and must not be used now
 	ReasonResuming        = "waking"     // SYN that arrives shortly after a pause of the process
