Fetch missing changes from any entry VM that has them, not from the announcer

The replies filled its link of 10 Mbit/s, its packets to servers were lost for more than a second, and retransmissions through it looked like a silent server (frontend-casa-ain-31 had polled the store 0.5 s before). Ruled out: the server (it answered flows of other entry VMs), a wrong token or address (logged with each retransmission), and the sending socket (no errors).

--- a/cmd/masticspard/dsr_bootstrap.go
+++ b/cmd/masticspard/dsr_bootstrap.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/masticspar/masticspar/internal/bootstrap"
+	"github.com/masticspar/masticspar/internal/history"
 	"github.com/masticspar/masticspar/internal/registry"
 	"github.com/masticspar/masticspar/internal/replica"
 	"github.com/masticspar/masticspar/internal/snapshot"
@@ -61,7 +62,7 @@
 		}
 		for _, source := range a.Sources {
 			// A state that is older than the time between two replies to a watch may come from an entry VM that is cut off.
-			s, err := snapshot.Fetch(ctx, source, d.settings.WatchTimeout()+time.Second)
+			s, err := snapshot.Fetch(ctx, source, d.settings.WatchTimeout()+time.Second, history.Position{})
 			if err == nil {
 				return d.newPage(source, s), nil
 			}
--- a/cmd/masticspard/dsr_peers.go
+++ b/cmd/masticspard/dsr_peers.go
@@ -39,6 +39,10 @@
 // maxSources is the maximum number of entry VMs that are queried for a snapshot or a token at a time.
 const maxSources = 3
 
+// localSources is the number of entry VMs of the own availability zone that are queried for a snapshot; one may be
+// stopping.
+const localSources = 2
+
 // crossZoneRounds is the number of ping rounds of which one goes to another availability zone. Traffic between zones is
 // charged for, and a few members of other zones suffice as contacts, because announcements stay in the zone.
 const crossZoneRounds = 5
@@ -252,25 +256,31 @@
 	return d.engine.Registry.Configuration()
 }
 
-// fetchSnapshot fetches a snapshot from other entry VMs, one after the other, and returns the first that succeeds. If this
-// entry VM has a complete state, the snapshot is younger.
+// fetchSnapshot fetches a snapshot from other entry VMs, one after the other, and returns the first that succeeds. It
+// prefers those with the changes that were announced here. If this entry VM has a complete state, the snapshot is
+// younger. The announcer itself is not preferred: the requests of a whole zone would fill the link of a small VM.
 func (d *dsrDaemon) fetchSnapshot(ctx context.Context) (replica.Page, error) {
 	err := errors.New("fetch snapshot: no other entry VM available")
 	d.mu.Lock()
-	sources := d.snapshotSources()
+	sources := d.sources(localSources)
 	maxAge, complete := d.replica.Age()
+	announced := d.openings.announcement.position
 	d.mu.Unlock()
 	if complete {
 		maxAge = max(maxAge, time.Millisecond)
 	} else {
 		maxAge = 0
 	}
-	for _, address := range sources {
-		var p *snapshot.Snapshot
-		if p, err = snapshot.Fetch(ctx, address, maxAge); err != nil {
-			continue
+	for _, least := range []history.Position{announced, {}} {
+		for _, address := range sources {
+			var s *snapshot.Snapshot
+			if s, err = snapshot.Fetch(ctx, address, maxAge, least); err == nil {
+				return d.newPage(address, s), nil
+			}
+		}
+		if announced == (history.Position{}) {
+			break
 		}
-		return d.newPage(address, p), nil
 	}
 	return replica.Page{}, errors.Trace(err)
 }
@@ -283,7 +293,7 @@
 	if !source.IsValid() {
 		return replica.Page{}, errors.New("no entry VM announced a later era")
 	}
-	s, err := snapshot.Fetch(ctx, source, 0)
+	s, err := snapshot.Fetch(ctx, source, 0, history.Position{})
 	if err != nil {
 		d.log.Info("state-source-failed", zap.Stringer("source", source), zap.Error(err))
 		return replica.Page{}, errors.Trace(err)
@@ -302,36 +312,24 @@
 	return p
 }
 
-// snapshotSources returns the entry VMs to fetch a snapshot from. The one that announced changes which are missing here
-// has them; others may lack them, too.
-func (d *dsrDaemon) snapshotSources() []netip.AddrPort {
-	list := d.sources()
-	if d.peers == nil {
-		return nil
-	}
-	a := &d.openings.announcement
-	if vm, ok := d.peers.list.Get(a.source); ok && a.position.Compare(d.replica.Position()) > 0 {
-		list = slices.DeleteFunc(list, func(address netip.AddrPort) bool { return address == vm.Control })
-		list = slices.Insert(list, 0, vm.Control)
-	}
-	return list
-}
-
-// sources returns up to maxSources entry VMs in random order: at most one of each availability zone, the own zone
-// first. A new process without members uses its contacts.
-func (d *dsrDaemon) sources() []netip.AddrPort {
+// sources returns up to maxSources entry VMs in random order: at most one of each other availability zone, after up to
+// local ones of the own zone. A new process without members uses its contacts.
+func (d *dsrDaemon) sources(local int) []netip.AddrPort {
 	if d.peers == nil {
 		return nil
 	}
 	members := d.peers.list.Active()
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	zones := map[string]bool{}
+	left := map[string]int{d.settings.AvailabilityZone: local}
 	var list []netip.AddrPort
 	for _, m := range members {
-		if m.Name == d.settings.Name || zones[m.Zone] {
+		if _, ok := left[m.Zone]; !ok {
+			left[m.Zone] = 1
+		}
+		if m.Name == d.settings.Name || left[m.Zone] == 0 {
 			continue
 		}
-		zones[m.Zone] = true
+		left[m.Zone]--
 		if m.Zone == d.settings.AvailabilityZone {
 			list = slices.Insert(list, 0, m.Control)
 		} else {
@@ -442,7 +440,7 @@
 // queryPeers queries other entry VMs for the servers of tokens.
 func (d *dsrDaemon) queryPeers(m *lookup.Message) {
 	d.counters.Add("lookup-tokens-asked", int64(len(m.Tokens)))
-	for _, to := range d.sources() {
+	for _, to := range d.sources(1) {
 		d.peers.sendLookup(to, m)
 	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -27,7 +27,7 @@
 	peerReadInterval = 3 * time.Second
 	// gapReadInterval is the same while changes are missing that others have announced. The snapshot of a process that lacks
 	// them, too, must not delay the next one beyond the bounds of the state.
-	gapReadInterval = 500 * time.Millisecond
+	gapReadInterval = time.Second
 	// roleCheckInterval is the time between two calls of ShouldRead while it returns false.
 	roleCheckInterval = 200 * time.Millisecond
 	// stateSpread is the time over which the entry VMs of a zone fetch the state from the one that announced a new era.
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"compress/gzip"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"slices"
 	"strconv"
 	"sync"
@@ -17,6 +19,7 @@
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 
+	"github.com/masticspar/masticspar/internal/history"
 	"github.com/masticspar/masticspar/internal/registry"
 	"github.com/masticspar/masticspar/internal/strictcbor"
 )
@@ -29,6 +32,9 @@
 	configurationPath = "/configuration"
 	// maxAgeParameter is the query parameter with the greatest accepted age of the snapshot in milliseconds.
 	maxAgeParameter = "max-age-ms"
+	// eraParameter and revisionParameter are the query parameters with the least position; missing ones allow any.
+	eraParameter      = "min-era"
+	revisionParameter = "min-revision"
 	// timeout bounds a transfer; the network delay between entry VMs is a few milliseconds.
 	timeout = 400 * time.Millisecond
 	// maxSize is the greatest size of a snapshot in bytes; a snapshot of 5,700 servers has about 0.7 MB.
@@ -122,8 +128,15 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
+		era, eraErr := strconv.ParseUint(cmp.Or(r.FormValue(eraParameter), "0"), 10, 64)
+		revision, revisionErr := strconv.ParseUint(cmp.Or(r.FormValue(revisionParameter), "0"), 10, 64)
+		if eraErr != nil || revisionErr != nil {
+			http.Error(w, "the least position is not a pair of numbers", http.StatusBadRequest)
+			return
+		}
+		least := history.Position{Era: era, Revision: revision}
 		s := source.Snapshot(time.Duration(maxAge) * time.Millisecond)
-		if s == nil {
+		if s == nil || (history.Position{Era: s.Era, Revision: s.Revision}).Compare(least) < 0 {
 			http.Error(w, "no picture", http.StatusServiceUnavailable)
 			return
 		}
@@ -205,11 +218,21 @@
 }
 
 // Fetch returns the snapshot of the entry VM at address. It returns an error if the snapshot is older than maxAge,
-// unless maxAge is 0.
-func Fetch(ctx context.Context, address netip.AddrPort, maxAge time.Duration) (*Snapshot, error) {
-	target := path
+// unless maxAge is 0, or if its position precedes least. Older entry VMs ignore least.
+func Fetch(
+	ctx context.Context, address netip.AddrPort, maxAge time.Duration, least history.Position,
+) (*Snapshot, error) {
+	query := url.Values{}
 	if maxAge > 0 {
-		target += "?" + maxAgeParameter + "=" + strconv.FormatInt(maxAge.Milliseconds(), 10)
+		query.Set(maxAgeParameter, strconv.FormatInt(maxAge.Milliseconds(), 10))
+	}
+	if least != (history.Position{}) {
+		query.Set(eraParameter, strconv.FormatUint(least.Era, 10))
+		query.Set(revisionParameter, strconv.FormatUint(least.Revision, 10))
+	}
+	target := path
+	if len(query) > 0 {
+		target += "?" + query.Encode()
 	}
 	started := time.Now()
 	b, header, err := get(ctx, address, target)
