Reset the flow of a silent server only if its caller can still retry

Around 9 to 15 s, while servers are replaced and entry VMs are added, some servers take more than 1.4 s for a request. The route's timeout is 1.5 s, so none of these resets could help its caller. Ruled out: lost or misdirected packets here (address, token, send errors and full queues were logged with each retransmission). Change: the reset needs a target latency left until the timeout of the route.

--- a/internal/dsr/loss.go
+++ b/internal/dsr/loss.go
@@ -34,6 +34,7 @@
 	waited        time.Duration // time since the request arrived
 	repeats       int           // retransmissions of the request that arrived here
 	targetLatency time.Duration // of the route
+	timeout       time.Duration // of the route, after which callers give up; 0 if it is unknown
 	promptServers int           // other servers that answered requests which arrived later, while nothing was delayed or lost
 }
 
@@ -47,12 +48,18 @@
 		v.repeats >= minRepeats && v.promptServers > 0:
 		return ReasonHostRemoved
 	case v.waited >= max(silentTimeout, silentTargets*v.targetLatency) && v.silentFor >= v.waited &&
-		v.repeats >= minRepeats && v.promptServers >= minPromptServers:
+		v.repeats >= minRepeats && v.promptServers >= minPromptServers && v.canRetry():
 		return ReasonHostSilent
 	}
 	return ""
 }
 
+// canRetry reports whether the caller has enough time left for another attempt. Otherwise a reset helps nobody, and a
+// server that is only slow may still answer.
+func (v *lossEvidence) canRetry() bool {
+	return v.timeout == 0 || v.waited+v.targetLatency <= v.timeout
+}
+
 // lossReason returns why the flow of a packet that retransmits data is lost, or the empty string.
 func (e *Engine) lossReason(now time.Duration, p *conntrack.Packet, l *registry.Lifetime) string {
 	f, r := e.Flows.Get(p.Key), e.Registry.Route(p.Service)
@@ -66,7 +73,7 @@
 	v := lossEvidence{
 		idempotent: r.Idempotent, removed: l.Removed, removedFor: now - l.Since,
 		silentFor: e.Placement.Load(now, l.Token).SinceResponse,
-		waited:    now - since, repeats: repeats, targetLatency: r.TargetLatency,
+		waited:    now - since, repeats: repeats, targetLatency: r.TargetLatency, timeout: r.Timeout,
 		promptServers: e.path.prompt(now, since, l.Token),
 	}
 	return v.reason()
