--- a/internal/dsr/path_test.go
+++ b/internal/dsr/path_test.go
@@ -183,12 +183,15 @@
 		targetLatency: 400 * time.Millisecond, promptServers: minPromptServers,
 	}
 	is.Equal(complete.reason(), ReasonHostSilent)
+	complete.timeout = complete.waited + complete.targetLatency
+	is.Equal(complete.reason(), ReasonHostSilent)
 	for name, change := range map[string]func(*lossEvidence){
 		"requests must not be repeated":  func(v *lossEvidence) { v.idempotent = false },
 		"server responded meanwhile":     func(v *lossEvidence) { v.silentFor = time.Second },
 		"short wait":                     func(v *lossEvidence) { v.waited = 900 * time.Millisecond },
 		"short wait for the route":       func(v *lossEvidence) { v.targetLatency = 500 * time.Millisecond },
 		"one retransmission":             func(v *lossEvidence) { v.repeats = 1 },
+		"no time for another attempt":    func(v *lossEvidence) { v.timeout = v.waited + v.targetLatency - 1 },
 		"path is delayed, lossy or idle": func(v *lossEvidence) { v.promptServers = minPromptServers - 1 },
 	} {
 		v := complete
