Give servers without a pace their service again

Cause: the merge of cold servers and pace dropped the assignment of load.service in Pick, so the response times of servers without a pace were averaged under an empty name, and paced servers were compared with nothing. Ruled out: deriving it from the group; BeginPace needs it before the first Pick. Change: listed sets the service. A comment is wrapped.

--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -124,7 +124,7 @@
 	l := m.load(now, h.Token)
 	l.listedAt = now
 	if l.group == nil {
-		l.token, l.zone, l.group = h.Token, m.zone(h.AvailabilityZone), m.group(h)
+		l.token, l.zone, l.service, l.group = h.Token, m.zone(h.AvailabilityZone), h.Service, m.group(h)
 		l.group.members = append(l.group.members, l)
 	}
 	return l
@@ -224,7 +224,8 @@
 	shared.Failures *= trust
 }
 
-// Tick ends the paces of servers that receive no requests and evaluates the load of all services. It is called about every 100 ms; otherwise Pick evaluates its own service.
+// Tick ends the paces of servers that receive no requests and evaluates the load of all services. It is called about
+// every 100 ms; otherwise Pick evaluates its own service.
 func (m *Model) Tick(now time.Duration) {
 	m.paces.Tick(now)
 	for _, s := range m.services {
